--- a/tests/correctness/BoundedRingTest.cpp
+++ b/tests/correctness/BoundedRingTest.cpp
@@ -35,8 +35,7 @@
   BoundedRing<int> Ring(64, [] {});
   std::thread Producer([&] {
     for (int Value = 0; Value < Count;) {
-      int Next = Value;
-      if (Ring.push(std::move(Next)))
+      if (Ring.push(int(Value)))
         ++Value;
       else
         std::this_thread::yield();
