--- /dev/null
+++ b/tests/control.cmake
@@ -0,0 +1,1 @@
+psp_test(control_state_test correctness/ControlStateTest.cpp USES psp_control)
