--- /dev/null
+++ b/src/storage/FileJournal.cpp
@@ -0,0 +1,209 @@
+#include "storage/FileJournal.h"
+
+#include "base/Error.h"
+#include "storage/Segment.h"
+#include "storage/SnapshotFile.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace psp::storage {
+
+namespace {
+
+constexpr std::string_view SegmentPrefix = "segment-";
+constexpr std::size_t SequenceDigits = 20;
+
+[[noreturn]] void refuse(const std::filesystem::path &Path,
+                         const std::string &Message) {
+  throw base::UserError(base::ErrorKind::Internal,
+                        Path.string() + ": " + Message);
+}
+
+} // namespace
+
+FileJournal::FileJournal(FileJournalOptions Options,
+                         const RecordHandler &Restore)
+    : m_Options(std::move(Options)) {
+  createFolder(m_Options.m_Folder);
+  m_Lock = File(m_Options.m_Folder / "lock", File::Mode::Append);
+  if (!m_Lock.tryLock())
+    refuse(m_Options.m_Folder,
+           "expected a free folder, found one that another process uses");
+  std::uint64_t Covered = restoreSnapshot(Restore);
+  restoreSegments(Covered, Restore);
+}
+
+std::uint64_t FileJournal::restoreSnapshot(const RecordHandler &Restore) {
+  std::filesystem::path Path = m_Options.m_Folder / SnapshotFileName;
+  if (!std::filesystem::exists(Path))
+    return 0;
+  SnapshotContent Content = decodeSnapshot(Path.string(), readFile(Path));
+  Restore(Content.m_Data);
+  return Content.m_Covered;
+}
+
+void FileJournal::restoreSegments(std::uint64_t Covered,
+                                  const RecordHandler &Restore) {
+  std::vector<std::uint64_t> Starts = segmentStarts();
+  std::uint64_t Next = Covered + 1;
+  if (!Starts.empty() && Starts.front() > Next)
+    refuse(segmentPath(Starts.front()),
+           "expected sequence " + std::to_string(Next) +
+               " or lower to begin with, found a gap");
+  for (std::size_t I = 0; I < Starts.size(); ++I) {
+    std::filesystem::path Path = segmentPath(Starts[I]);
+    if (I > 0 && Starts[I] != Next)
+      refuse(Path, "expected to begin with sequence " + std::to_string(Next) +
+                       ", found a missing or short segment before it");
+    std::string Content = readFile(Path);
+    SegmentContent Read =
+        readSegment(Path.string(), Content, Starts[I], Covered, Restore);
+    Next = Read.m_NextSequence;
+    if (Read.m_ValidBytes == Content.size())
+      continue;
+    if (I + 1 < Starts.size())
+      refuse(Path, "expected whole records up to the end, found a bad one at "
+                   "offset " +
+                       std::to_string(Read.m_ValidBytes));
+    cutTail(Path, Read.m_ValidBytes);
+  }
+  m_Appended = std::max(Next - 1, Covered);
+  m_Synced = m_Appended;
+  if (Starts.empty() || Next - 1 < Covered) {
+    startSegment(m_Appended + 1);
+  } else {
+    m_SegmentFirst = Starts.back();
+    m_Segment = File(segmentPath(m_SegmentFirst), File::Mode::Append);
+  }
+  dropCoveredSegments(Covered);
+}
+
+void FileJournal::cutTail(const std::filesystem::path &Path,
+                          std::uint64_t Length) {
+  File Out(Path, File::Mode::Append);
+  m_CutBytes = Out.size() - Length;
+  Out.truncate(Length);
+  Out.sync();
+}
+
+std::uint64_t FileJournal::append(std::string_view Record) {
+  std::lock_guard Guard(m_Mutex);
+  requireIntact();
+  base::checkInvariant(Record.size() + RecordHeadBytes <= MaxBatchBytes,
+                       "a journal record is too long");
+  m_Pending.emplace_back(Record);
+  return ++m_Appended;
+}
+
+std::uint64_t FileJournal::sync() {
+  std::vector<std::string> Records;
+  std::uint64_t First = 0;
+  {
+    std::lock_guard Guard(m_Mutex);
+    requireIntact();
+    Records.swap(m_Pending);
+    First = m_Synced + 1;
+    if (Records.empty())
+      return m_Synced;
+    // Until the write has succeeded, what the disk holds is unknown.
+    m_Broken = true;
+  }
+  std::uint64_t Last = First + Records.size() - 1;
+  writeRecords(First, std::move(Records));
+  std::lock_guard Guard(m_Mutex);
+  m_Broken = false;
+  m_Synced = Last;
+  return Last;
+}
+
+void FileJournal::writeRecords(std::uint64_t First,
+                               std::vector<std::string> Records) {
+  if (m_Segment.size() >= m_Options.m_SegmentBytes)
+    startSegment(First);
+  std::vector<std::string> Batch;
+  std::size_t Bytes = 0;
+  auto Flush = [&] {
+    m_Segment.write(encodeBatch(First, Batch));
+    m_Segment.sync();
+    First += Batch.size();
+    Batch.clear();
+    Bytes = 0;
+  };
+  for (std::string &Record : Records) {
+    std::size_t Length = Record.size() + RecordHeadBytes;
+    if (Bytes + Length > MaxBatchBytes)
+      Flush();
+    Bytes += Length;
+    Batch.push_back(std::move(Record));
+  }
+  Flush();
+}
+
+void FileJournal::startSegment(std::uint64_t First) {
+  m_Segment = File(segmentPath(First), File::Mode::CreateNew);
+  m_SegmentFirst = First;
+  syncFolder(m_Options.m_Folder);
+}
+
+void FileJournal::writeSnapshot(std::string_view Snapshot,
+                                std::uint64_t Covered) {
+  std::uint64_t Synced = sync();
+  base::checkInvariant(Covered <= Synced,
+                       "a snapshot covers records that were never appended");
+  replaceFile(m_Options.m_Folder / SnapshotFileName,
+              encodeSnapshot(Covered, Snapshot));
+  if (m_SegmentFirst <= Synced)
+    startSegment(Synced + 1);
+  dropCoveredSegments(Covered);
+}
+
+void FileJournal::dropCoveredSegments(std::uint64_t Covered) {
+  std::vector<std::uint64_t> Starts = segmentStarts();
+  // The oldest goes first, so that a crash in between leaves no gap.
+  for (std::size_t I = 0; I + 1 < Starts.size(); ++I) {
+    if (Starts[I + 1] > Covered + 1)
+      return;
+    std::filesystem::remove(segmentPath(Starts[I]));
+    syncFolder(m_Options.m_Folder);
+  }
+}
+
+std::uint64_t FileJournal::syncedSequence() const {
+  std::lock_guard Guard(m_Mutex);
+  return m_Synced;
+}
+
+void FileJournal::requireIntact() const {
+  if (m_Broken)
+    refuse(m_Options.m_Folder,
+           "expected an intact journal, found one whose last sync failed");
+}
+
+std::filesystem::path FileJournal::segmentPath(std::uint64_t First) const {
+  std::string Digits = std::to_string(First);
+  Digits.insert(0, SequenceDigits - Digits.size(), '0');
+  return m_Options.m_Folder / (std::string(SegmentPrefix) + Digits);
+}
+
+std::vector<std::uint64_t> FileJournal::segmentStarts() const {
+  std::vector<std::uint64_t> Starts;
+  for (const auto &Entry :
+       std::filesystem::directory_iterator(m_Options.m_Folder)) {
+    std::string Name = Entry.path().filename().string();
+    if (!Name.starts_with(SegmentPrefix))
+      continue;
+    std::uint64_t First = 0;
+    const char *End = Name.data() + Name.size();
+    auto Parsed =
+        std::from_chars(Name.data() + SegmentPrefix.size(), End, First);
+    if (Parsed.ec != std::errc() || Parsed.ptr != End)
+      refuse(Entry.path(), "expected a sequence in the name, found none");
+    Starts.push_back(First);
+  }
+  std::sort(Starts.begin(), Starts.end());
+  return Starts;
+}
+
+} // namespace psp::storage
--- /dev/null
+++ b/src/storage/SnapshotFile.h
@@ -0,0 +1,29 @@
+/// \file
+/// The layout of a snapshot file: a mark, the covered sequence, a checksum and
+/// the content.
+
+#ifndef PSP_STORAGE_SNAPSHOTFILE_H
+#define PSP_STORAGE_SNAPSHOTFILE_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace psp::storage {
+
+inline constexpr std::string_view SnapshotFileName = "snapshot";
+
+struct SnapshotContent {
+  std::uint64_t m_Covered = 0; ///< The records up to this one are replaced.
+  std::string m_Data;
+};
+
+std::string encodeSnapshot(std::uint64_t Covered, std::string_view Data);
+
+/// Throws UserError(Internal) that names \p Name when \p Content is damaged.
+SnapshotContent decodeSnapshot(const std::string &Name,
+                               std::string_view Content);
+
+} // namespace psp::storage
+
+#endif
--- a/tests/control.cmake
+++ b/tests/control.cmake
@@ -1,1 +1,5 @@
 psp_test(control_state_test correctness/ControlStateTest.cpp USES psp_control)
+psp_test(journal_test correctness/JournalTest.cpp USES psp_storage)
+psp_test(journal_damage_test error/JournalDamageTest.cpp USES psp_storage)
+psp_benchmark(journal_benchmark performance/JournalBenchmark.cpp USES psp_storage)
+target_include_directories(journal_benchmark PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
--- /dev/null
+++ b/tests/correctness/JournalTest.cpp
@@ -0,0 +1,117 @@
+// What was synced is there again after a restart, over segments, snapshots
+// and a wiped folder.
+
+#include "storage/FileJournal.h"
+#include "storage/FolderIdentity.h"
+
+#include "base/Error.h"
+#include "support/TemporaryFolder.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+namespace psp::storage {
+namespace {
+
+class JournalTest : public testing::Test {
+protected:
+  std::unique_ptr<FileJournal> open(std::uint64_t SegmentBytes = 200) {
+    m_Restored.clear();
+    return std::make_unique<FileJournal>(
+        FileJournalOptions{.m_Folder = m_Folder.path() / "a" / "journal",
+                           .m_SegmentBytes = SegmentBytes},
+        [&](std::string_view Record) { m_Restored.emplace_back(Record); });
+  }
+
+  std::size_t fileCount() const {
+    std::filesystem::directory_iterator Files(m_Folder.path() / "a" /
+                                              "journal");
+    return static_cast<std::size_t>(std::distance(begin(Files), end(Files)));
+  }
+
+  tests::TemporaryFolder m_Folder;
+  std::vector<std::string> m_Restored;
+};
+
+TEST_F(JournalTest, RestoresWhatWasSynced) {
+  {
+    SCOPED_TRACE("three records, the last one never synced");
+    auto Journal = open();
+    EXPECT_EQ(Journal->append("one"), 1U);
+    EXPECT_EQ(Journal->append(""), 2U);
+    EXPECT_EQ(Journal->sync(), 2U);
+    EXPECT_EQ(Journal->append("three"), 3U);
+    EXPECT_EQ(Journal->syncedSequence(), 2U);
+  }
+  {
+    SCOPED_TRACE("sequences go on behind the last synced record");
+    auto Journal = open();
+    EXPECT_EQ(m_Restored, (std::vector<std::string>{"one", ""}));
+    EXPECT_EQ(Journal->append("again"), 3U);
+    EXPECT_EQ(Journal->sync(), 3U);
+  }
+  {
+    SCOPED_TRACE("a second process can't open the same folder");
+    auto Journal = open();
+    EXPECT_THROW(open(), base::UserError);
+  }
+}
+
+TEST_F(JournalTest, SegmentsAndSnapshot) {
+  std::vector<std::string> Expected;
+  {
+    SCOPED_TRACE("many small segments");
+    auto Journal = open();
+    for (int I = 1; I <= 50; ++I) {
+      Expected.push_back("record " + std::to_string(I));
+      Journal->append(Expected.back());
+      Journal->sync();
+    }
+    EXPECT_GT(fileCount(), 5U);
+  }
+  {
+    SCOPED_TRACE("all come back; the snapshot replaces the first 40");
+    auto Journal = open();
+    EXPECT_EQ(m_Restored, Expected);
+    Journal->writeSnapshot("snapshot", 40);
+    Expected.erase(Expected.begin(), Expected.begin() + 40);
+    Expected.insert(Expected.begin(), "snapshot");
+    EXPECT_LT(fileCount(), 7U);
+  }
+  {
+    SCOPED_TRACE("a later snapshot covers everything and is followed by more");
+    auto Journal = open();
+    EXPECT_EQ(m_Restored, Expected);
+    Journal->writeSnapshot("later", 50);
+    EXPECT_EQ(Journal->append("next"), 51U);
+    Journal->sync();
+    EXPECT_EQ(fileCount(), 3U) << "lock, snapshot and one segment";
+  }
+  auto Journal = open();
+  EXPECT_EQ(m_Restored, (std::vector<std::string>{"later", "next"}));
+}
+
+TEST_F(JournalTest, IdentityIsCreatedOnce) {
+  base::InstanceId Self("brum-a-1");
+  OpenedIdentity First = openFolderIdentity(m_Folder.path(), Self, 7);
+  EXPECT_TRUE(First.m_IsNew);
+  EXPECT_EQ(First.m_Identity.m_Created, 7U);
+  OpenedIdentity Second = openFolderIdentity(m_Folder.path(), Self, 8);
+  EXPECT_FALSE(Second.m_IsNew);
+  EXPECT_EQ(Second.m_Identity, First.m_Identity);
+
+  SCOPED_TRACE("another instance's folder is refused");
+  EXPECT_THROW(
+      openFolderIdentity(m_Folder.path(), base::InstanceId("other"), 9),
+      base::UserError);
+
+  SCOPED_TRACE("a wiped folder gets another identity");
+  std::filesystem::remove(m_Folder.path() / "identity");
+  OpenedIdentity Wiped = openFolderIdentity(m_Folder.path(), Self, 7);
+  EXPECT_TRUE(Wiped.m_IsNew);
+  EXPECT_NE(Wiped.m_Identity, First.m_Identity);
+}
+
+} // namespace
+} // namespace psp::storage
