Replicate a program's entries between its owner and the ledgers

Cause: program state needs a copy on several disks, and two instances may both take themselves for a program's owner.

The ballot of each program is the fence. A new owner opens the program at the ledgers, adopts the log that ends with the highest (ballot, index) out of a majority, and commits only through an entry of its own ballot.

A wiped disk: each life of a disk has a random generation. A ledger counts for a program again only when the owner knew the present generation before it chose its ballot and has rewritten the log. Ruled out: a rewrite under the ballot that the owner already had. The ledger may have promised and forgotten a higher one, and then two owners commit at the same index, one of them through the wiped ledger. Ruled out too: a flag that the shell sets on an empty data folder, since it can't tell a first start from a wipe; the generation in the program's first entry can.

The hash chain leaves the ballot out, so a takeover does not break it.

--- /dev/null
+++ b/src/program/ProgramOwner.cpp
@@ -0,0 +1,376 @@
+#include "program/ProgramOwner.h"
+
+#include "base/Error.h"
+#include "base/Hash.h"
+#include "program/HashChain.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace psp::program {
+namespace {
+
+/// Longest run of entries in one append, well below the frame's limit.
+constexpr std::size_t MaxAppendBytes = 4U << 20U;
+
+/// The round of a program's creation; every later owner goes higher.
+constexpr std::uint64_t CreationRound = 1;
+
+/// Spreads the retries of owners that race each other.
+constexpr std::uint64_t MaxBackoffIntervals = 8;
+
+LogEnd endOf(const std::vector<messages::ProgramEntry> &Log) {
+  if (Log.empty())
+    return {};
+  return {.m_Ballot = Log.back().ballot(), .m_Index = Log.size()};
+}
+
+bool isSameBallot(const messages::Ballot &Left, const messages::Ballot &Right) {
+  return compareBallots(Left, Right) == std::strong_ordering::equal;
+}
+
+} // namespace
+
+ProgramOwner::ProgramOwner(base::ProgramId Program, OwnerOptions Options)
+    : m_Program(std::move(Program)), m_Options(std::move(Options)) {}
+
+void ProgramOwner::startBallot(std::uint64_t Round, const LedgerDisks &Disks) {
+  m_Ballot.set_round(Round);
+  m_Ballot.set_instance(m_Options.m_Self.str());
+  m_Ballot.set_nonce(m_Options.m_Nonce);
+  m_DisksAtBallot = Disks;
+  m_Promises = {};
+  m_WipedDisks.clear();
+  m_Ledgers.clear();
+  for (const base::InstanceId &Ledger : m_Options.m_Ledgers)
+    m_Ledgers[Ledger] = {};
+}
+
+void ProgramOwner::create(messages::ProgramEntry First,
+                          const LedgerDisks &Disks, base::Now Time,
+                          messages::Outbox &Out) {
+  base::checkInvariant(m_Log.empty(), "the program was created already");
+  for (const auto &[Ledger, Generation] : Disks) {
+    auto &Disk = *First.mutable_created()->add_disks();
+    Disk.set_ledger(Ledger.str());
+    Disk.set_generation(Generation);
+  }
+  startBallot(CreationRound, Disks);
+  m_Phase = OwnerPhase::Leading;
+  m_LeadIndex = 1;
+  append(std::move(First), Time, Out);
+}
+
+void ProgramOwner::open(const LedgerDisks &Disks, base::Now Time,
+                        messages::Outbox &Out) {
+  base::checkInvariant(m_Phase != OwnerPhase::Fenced, "a fenced owner opens");
+  const std::uint64_t Round =
+      std::max({m_Ballot.round() + 1, m_MinRound, CreationRound + 1});
+  startBallot(Round, Disks);
+  m_Phase = OwnerPhase::Opening;
+  sendOpen(Time, Out);
+}
+
+void ProgramOwner::sendOpen(base::Now Time, messages::Outbox &Out) {
+  m_NextOpen = Time.m_Monotonic + m_Options.m_RetransmitInterval;
+  for (const base::InstanceId &Ledger : m_Options.m_Ledgers) {
+    if (m_Promises.m_Replies.contains(Ledger))
+      continue;
+    auto &Open = *Out.add(Ledger).mutable_program()->mutable_open();
+    Open.set_program(m_Program.str());
+    *Open.mutable_ballot() = m_Ballot;
+  }
+}
+
+void ProgramOwner::onOpenReply(const base::InstanceId &From,
+                               const messages::ProgramOpenReply &Reply,
+                               base::Now Time, messages::Outbox &Out) {
+  if (m_Phase != OwnerPhase::Opening || !m_Ledgers.contains(From) ||
+      !isSameBallot(Reply.ballot(), m_Ballot))
+    return;
+  if (!Reply.promised()) {
+    retryOpen(Reply.promised_ballot(), Time);
+    return;
+  }
+  m_Promises.m_Replies[From] = Reply;
+  countPromises(Time, Out);
+}
+
+void ProgramOwner::retryOpen(const messages::Ballot &Promised, base::Now Time) {
+  if (hasLog()) {
+    m_Phase = OwnerPhase::Fenced;
+    return;
+  }
+  if (Promised.round() + 1 <= m_MinRound)
+    return;
+  m_MinRound = Promised.round() + 1;
+  const std::uint64_t Spread =
+      base::stableHash(m_Options.m_Self.str() + std::to_string(m_MinRound)) %
+      MaxBackoffIntervals;
+  // The first refusal usually comes from an owner that is gone.
+  m_NextOpen = Time.m_Monotonic;
+  if (m_Refusals++ > 0)
+    m_NextOpen += m_Options.m_RetransmitInterval * static_cast<int>(Spread);
+}
+
+std::string
+ProgramOwner::createdGeneration(const base::InstanceId &Ledger) const {
+  const auto Find = [&](const messages::ProgramEntry &First) -> std::string {
+    for (const messages::LedgerDisk &Disk : First.created().disks()) {
+      if (Disk.ledger() == Ledger.str())
+        return Disk.generation();
+    }
+    return {};
+  };
+  if (hasLog())
+    return Find(m_Log.front());
+  for (const auto &[Other, Reply] : m_Promises.m_Replies) {
+    if (Reply.entries_size() > 0)
+      return Find(Reply.entries(0));
+  }
+  return {};
+}
+
+std::string
+ProgramOwner::trustedGeneration(const base::InstanceId &Ledger) const {
+  const auto Known = m_DisksAtBallot.find(Ledger);
+  return Known != m_DisksAtBallot.end() ? Known->second
+                                        : createdGeneration(Ledger);
+}
+
+bool ProgramOwner::remembers(const base::InstanceId &Ledger,
+                             const messages::ProgramOpenReply &Reply) const {
+  return !Reply.forgetful() || Reply.generation() == createdGeneration(Ledger);
+}
+
+void ProgramOwner::countPromises(base::Now Time, messages::Outbox &Out) {
+  std::size_t Votes = 0;
+  std::size_t Empty = 0;
+  for (const auto &[Ledger, Reply] : m_Promises.m_Replies) {
+    if (Reply.evicted()) {
+      m_Phase = OwnerPhase::Evicted;
+      return;
+    }
+    if (remembers(Ledger, Reply))
+      ++Votes;
+    if (Reply.entries_size() == 0)
+      ++Empty;
+  }
+  if (!hasLog() && Empty == m_Options.m_Ledgers.size()) {
+    m_Phase = OwnerPhase::Missing;
+    return;
+  }
+  if (Votes < majority())
+    return;
+  adopt();
+  if (m_Phase != OwnerPhase::Fenced)
+    lead(Time, Out);
+}
+
+void ProgramOwner::adopt() {
+  const messages::ProgramOpenReply *Best = nullptr;
+  LogEnd BestEnd = endOf(m_Log);
+  for (const auto &[Ledger, Reply] : m_Promises.m_Replies) {
+    if (Reply.entries_size() == 0)
+      continue;
+    const LogEnd End = {
+        .m_Ballot = Reply.entries(Reply.entries_size() - 1).ballot(),
+        .m_Index = static_cast<std::uint64_t>(Reply.entries_size())};
+    if (!endsLater(End, BestEnd))
+      continue;
+    Best = &Reply;
+    BestEnd = End;
+  }
+  if (Best == nullptr)
+    return;
+  if (hasLog()) {
+    // Only another owner can have written past the own log.
+    m_Phase = OwnerPhase::Fenced;
+    return;
+  }
+  m_Log.assign(Best->entries().begin(), Best->entries().end());
+}
+
+void ProgramOwner::lead(base::Now Time, messages::Outbox &Out) {
+  base::checkInvariant(hasLog(), "an owner leads an empty program");
+  m_Phase = OwnerPhase::Leading;
+  m_Refusals = 0;
+  m_LeadIndex = lastIndex() + 1;
+  for (auto &[Ledger, View] : m_Ledgers) {
+    const auto Reply = m_Promises.m_Replies.find(Ledger);
+    if (Reply != m_Promises.m_Replies.end() && Reply->second.entries_size() > 0)
+      View.m_Next = std::min<std::uint64_t>(
+          static_cast<std::uint64_t>(Reply->second.entries_size()) + 1,
+          m_LeadIndex);
+  }
+  m_Promises = {};
+  messages::ProgramEntry Changed;
+  Changed.mutable_owner_changed()->set_instance(m_Options.m_Self.str());
+  append(std::move(Changed), Time, Out);
+}
+
+std::uint64_t ProgramOwner::append(messages::ProgramEntry Entry, base::Now Time,
+                                   messages::Outbox &Out) {
+  base::checkInvariant(m_Phase == OwnerPhase::Leading ||
+                           (m_Phase == OwnerPhase::Opening && hasLog()),
+                       "an owner appends before it leads");
+  // While the owner opens again, the entry stays under the ballot of its log:
+  // nobody else writes under that ballot, and nobody has seen the entry.
+  *Entry.mutable_ballot() =
+      m_Phase == OwnerPhase::Leading ? m_Ballot : m_Log.back().ballot();
+  Entry.set_index(lastIndex() + 1);
+  Entry.set_wall_time_us(Time.m_Wall);
+  Entry.set_schema_version(1);
+  if (hasLog()) {
+    Entry.set_previous_hash(contentHash(m_Log.back()));
+    if (Entry.elapsed_ms() < m_Log.back().elapsed_ms())
+      Entry.set_elapsed_ms(m_Log.back().elapsed_ms());
+  }
+  m_Log.push_back(std::move(Entry));
+  if (m_Phase == OwnerPhase::Leading) {
+    for (const base::InstanceId &Ledger : m_Options.m_Ledgers)
+      sendEntries(Ledger, Time, Out);
+  }
+  return lastIndex();
+}
+
+void ProgramOwner::sendEntries(const base::InstanceId &Ledger, base::Now Time,
+                               messages::Outbox &Out) {
+  LedgerView &View = m_Ledgers[Ledger];
+  auto &Append = *Out.add(Ledger).mutable_program()->mutable_append();
+  Append.set_program(m_Program.str());
+  *Append.mutable_ballot() = m_Ballot;
+  Append.set_previous_index(View.m_Next - 1);
+  if (View.m_Next > 1)
+    *Append.mutable_previous_ballot() = entry(View.m_Next - 1).ballot();
+  std::size_t Bytes = 0;
+  while (View.m_Next <= lastIndex() && Bytes < MaxAppendBytes) {
+    const messages::ProgramEntry &Entry = entry(View.m_Next);
+    Bytes += Entry.ByteSizeLong();
+    *Append.add_entries() = Entry;
+    ++View.m_Next;
+  }
+  Append.set_commit_index(m_CommitIndex);
+  Append.set_generation(trustedGeneration(Ledger));
+  Append.set_rebuild_through(m_LeadIndex);
+  View.m_ToldCommit = m_CommitIndex;
+  View.m_LastSent = Time.m_Monotonic;
+}
+
+void ProgramOwner::onAppendReply(const base::InstanceId &From,
+                                 const messages::ProgramAppendReply &Reply,
+                                 base::Now Time, messages::Outbox &Out) {
+  const auto Found = m_Ledgers.find(From);
+  if (m_Phase != OwnerPhase::Leading || Found == m_Ledgers.end() ||
+      !isSameBallot(Reply.ballot(), m_Ballot))
+    return;
+  LedgerView &View = Found->second;
+  if (Reply.evicted()) {
+    View.m_Evicted = true;
+    return;
+  }
+  if (compareBallots(Reply.promised_ballot(), m_Ballot) ==
+      std::strong_ordering::greater) {
+    m_Phase = OwnerPhase::Fenced;
+    return;
+  }
+  if (!Reply.accepted()) {
+    if (Reply.last_hint() + 1 < View.m_Next &&
+        Reply.last_hint() >= View.m_Match) {
+      View.m_Next = Reply.last_hint() + 1;
+      sendEntries(From, Time, Out);
+    }
+    if (Reply.forgetful())
+      noteDisk(From, Reply.generation());
+    return;
+  }
+  if (Reply.forgetful()) {
+    noteDisk(From, Reply.generation());
+    return;
+  }
+  View.m_Match = std::max(View.m_Match, Reply.last_index());
+  View.m_Next = std::max(View.m_Next, View.m_Match + 1);
+  advanceCommit();
+  if (View.m_Next <= lastIndex())
+    sendEntries(From, Time, Out);
+}
+
+void ProgramOwner::noteDisk(const base::InstanceId &Ledger,
+                            const std::string &Generation) {
+  if (trustedGeneration(Ledger) != Generation)
+    m_WipedDisks[Ledger] = Generation;
+}
+
+void ProgramOwner::advanceCommit() {
+  std::vector<std::uint64_t> Matches;
+  for (const auto &[Ledger, View] : m_Ledgers)
+    Matches.push_back(View.m_Match);
+  std::sort(Matches.begin(), Matches.end(), std::greater<>());
+  const std::uint64_t Index = Matches[majority() - 1];
+  if (Index < m_LeadIndex || Index <= m_CommitIndex)
+    return;
+  base::checkInvariant(Index <= lastIndex(), "a ledger has more than was sent");
+  m_CommitIndex = Index;
+}
+
+std::uint64_t
+ProgramOwner::syncedAtAny(const std::vector<base::InstanceId> &Ledgers) const {
+  std::uint64_t Highest = 0;
+  for (const base::InstanceId &Ledger : Ledgers) {
+    const auto Found = m_Ledgers.find(Ledger);
+    if (Found != m_Ledgers.end())
+      Highest = std::max(Highest, Found->second.m_Match);
+  }
+  return Highest;
+}
+
+bool ProgramOwner::needsRepair(const LedgerDisks &Disks) const {
+  return std::any_of(
+      m_WipedDisks.begin(), m_WipedDisks.end(), [&](const auto &Wiped) {
+        const auto Known = Disks.find(Wiped.first);
+        return Known != Disks.end() && Known->second == Wiped.second;
+      });
+}
+
+bool ProgramOwner::isQuiet() const {
+  if (m_Phase == OwnerPhase::Opening)
+    return false;
+  if (m_Phase != OwnerPhase::Leading)
+    return true;
+  return m_WipedDisks.empty() &&
+         std::all_of(m_Ledgers.begin(), m_Ledgers.end(), [&](const auto &Row) {
+           const LedgerView &View = Row.second;
+           return View.m_Evicted || (View.m_Match == lastIndex() &&
+                                     View.m_ToldCommit == m_CommitIndex);
+         });
+}
+
+void ProgramOwner::onTick(const LedgerDisks &Disks, base::Now Time,
+                          messages::Outbox &Out) {
+  if (m_Phase == OwnerPhase::Opening) {
+    if (Time.m_Monotonic < m_NextOpen)
+      return;
+    if (m_MinRound > m_Ballot.round() || needsRepair(Disks))
+      open(Disks, Time, Out);
+    else
+      sendOpen(Time, Out);
+    return;
+  }
+  if (m_Phase != OwnerPhase::Leading)
+    return;
+  if (needsRepair(Disks)) {
+    open(Disks, Time, Out);
+    return;
+  }
+  for (auto &[Ledger, View] : m_Ledgers) {
+    const bool Behind =
+        View.m_Match < lastIndex() || View.m_ToldCommit < m_CommitIndex;
+    if (View.m_Evicted || !Behind ||
+        Time.m_Monotonic - View.m_LastSent < m_Options.m_RetransmitInterval)
+      continue;
+    View.m_Next = View.m_Match + 1;
+    sendEntries(Ledger, Time, Out);
+  }
+}
+
+} // namespace psp::program
--- /dev/null
+++ b/tests/correctness/ProgramReplicationTest.cpp
@@ -0,0 +1,209 @@
+/// \file
+/// One program's replication between owners and three ledgers: commit,
+/// takeover, fencing and a wiped disk.
+
+#include "ProgramFakes.h"
+#include "program/HashChain.h"
+#include "program/ProgramOwner.h"
+
+#include <gtest/gtest.h>
+
+namespace psp::program {
+namespace {
+
+using base::InstanceId;
+using tests::FakeLedger;
+
+class ProgramReplicationTest : public testing::Test {
+protected:
+  OwnerOptions options(const std::string &Self) {
+    return {.m_Self = InstanceId(Self),
+            .m_Ledgers = {InstanceId("a"), InstanceId("b"), InstanceId("c")},
+            .m_RetransmitInterval = base::milliseconds(20),
+            .m_Nonce = ++m_Nonce};
+  }
+
+  LedgerDisks disks() const {
+    LedgerDisks Result;
+    for (const FakeLedger &Ledger : m_Ledgers)
+      Result[Ledger.self()] = Ledger.replica().generation();
+    return Result;
+  }
+
+  static messages::ProgramEntry created() {
+    messages::ProgramEntry Entry;
+    Entry.mutable_created()->set_organisation("mills");
+    return Entry;
+  }
+
+  static messages::ProgramEntry started(std::uint64_t Turn) {
+    messages::ProgramEntry Entry;
+    Entry.mutable_turn_started()->mutable_request()->set_turn(Turn);
+    return Entry;
+  }
+
+  /// Delivers between \p Owner and the ledgers in \p Reachable until all is
+  /// quiet.
+  void deliver(ProgramOwner &Owner, const InstanceId &Self,
+               const std::string &Reachable) {
+    for (std::vector<messages::Outgoing> Sent = m_Out.take(); !Sent.empty();
+         Sent = m_Out.take()) {
+      for (const messages::Outgoing &Message : Sent)
+        deliverOne(Owner, Self, Reachable, Message);
+    }
+  }
+
+  void deliverOne(ProgramOwner &Owner, const InstanceId &Self,
+                  const std::string &Reachable,
+                  const messages::Outgoing &Message) {
+    for (FakeLedger &Ledger : m_Ledgers) {
+      if (Ledger.self() != Message.m_To ||
+          Reachable.find(Ledger.self().str()) == std::string::npos)
+        continue;
+      Ledger.onMessage(Self, Message.m_Message.program(), m_Now);
+      Ledger.sync();
+      for (const messages::Outgoing &Reply : Ledger.takeSynced()) {
+        const messages::ProgramMessage &Body = Reply.m_Message.program();
+        if (Body.has_open_reply())
+          Owner.onOpenReply(Ledger.self(), Body.open_reply(), m_Now, m_Out);
+        else
+          Owner.onAppendReply(Ledger.self(), Body.append_reply(), m_Now, m_Out);
+      }
+    }
+  }
+
+  void tick(ProgramOwner &Owner) {
+    m_Now.m_Monotonic += base::seconds(1);
+    Owner.onTick(disks(), m_Now, m_Out);
+  }
+
+  std::uint64_t m_Nonce = 0;
+  base::Now m_Now;
+  messages::Outbox m_Out;
+  FakeLedger m_Ledgers[3] = {FakeLedger(InstanceId("a")),
+                             FakeLedger(InstanceId("b")),
+                             FakeLedger(InstanceId("c"))};
+  const base::ProgramId m_Program{"brum-a/1"};
+  const InstanceId m_First{"entry-1"};
+  const InstanceId m_Second{"entry-2"};
+};
+
+TEST_F(ProgramReplicationTest, TakeoverFencesTheFirstOwner) {
+  ProgramOwner First(m_Program, options("entry-1"));
+  {
+    SCOPED_TRACE("a majority commits the creation and one turn");
+    First.create(created(), disks(), m_Now, m_Out);
+    deliver(First, m_First, "ab");
+    First.append(started(1), m_Now, m_Out);
+    EXPECT_EQ(First.commitIndex(), 1U);
+    deliver(First, m_First, "ab");
+    EXPECT_EQ(First.commitIndex(), 2U);
+  }
+  ProgramOwner Second(m_Program, options("entry-2"));
+  {
+    SCOPED_TRACE("the second owner finds both through the other majority");
+    Second.open(disks(), m_Now, m_Out);
+    deliver(Second, m_Second, "bc");
+    ASSERT_EQ(Second.phase(), OwnerPhase::Leading);
+    EXPECT_EQ(Second.commitIndex(), 3U);
+    EXPECT_TRUE(Second.entry(3).has_owner_changed());
+    EXPECT_EQ(verifyChain(Second.entries()), std::nullopt);
+  }
+  {
+    SCOPED_TRACE("the first owner can commit nothing and gives up");
+    First.append(started(2), m_Now, m_Out);
+    deliver(First, m_First, "abc");
+    EXPECT_EQ(First.phase(), OwnerPhase::Fenced);
+    EXPECT_EQ(First.commitIndex(), 2U);
+  }
+}
+
+TEST_F(ProgramReplicationTest, WipedDiskCountsOnlyAfterItWasRewritten) {
+  ProgramOwner First(m_Program, options("entry-1"));
+  First.create(created(), disks(), m_Now, m_Out);
+  deliver(First, m_First, "ac");
+  ASSERT_EQ(First.commitIndex(), 1U);
+  {
+    SCOPED_TRACE(
+        "a wiped ledger and one that missed the program are no quorum");
+    m_Ledgers[0].wipe();
+    ProgramOwner Second(m_Program, options("entry-2"));
+    Second.open(disks(), m_Now, m_Out);
+    deliver(Second, m_Second, "ab");
+    EXPECT_EQ(Second.phase(), OwnerPhase::Opening);
+  }
+  ProgramOwner Third(m_Program, options("entry-2"));
+  {
+    SCOPED_TRACE("the ledger that never had it counts: its disk is older");
+    Third.open(disks(), m_Now, m_Out);
+    deliver(Third, m_Second, "bc");
+    tick(Third);
+    deliver(Third, m_Second, "bc");
+    ASSERT_EQ(Third.phase(), OwnerPhase::Leading);
+  }
+  {
+    SCOPED_TRACE("rewritten under a ballot that is younger than the wipe");
+    tick(Third);
+    deliver(Third, m_Second, "abc");
+    EXPECT_FALSE(m_Ledgers[0].replica().find(m_Program)->m_Forgetful);
+  }
+  {
+    SCOPED_TRACE("a second loss right after the repair is survived");
+    m_Ledgers[2].wipe();
+    ProgramOwner Fourth(m_Program, options("entry-3"));
+    for (int Round = 0; Round < 5; ++Round) {
+      if (Round == 0)
+        Fourth.open(disks(), m_Now, m_Out);
+      deliver(Fourth, InstanceId("entry-3"), "ab");
+      tick(Fourth);
+    }
+    ASSERT_EQ(Fourth.phase(), OwnerPhase::Leading);
+    EXPECT_TRUE(Fourth.entry(1).has_created());
+  }
+}
+
+TEST_F(ProgramReplicationTest, OwnerRepairsAWipeThatHappensUnderIt) {
+  ProgramOwner First(m_Program, options("entry-1"));
+  First.create(created(), disks(), m_Now, m_Out);
+  deliver(First, m_First, "abc");
+  m_Ledgers[0].wipe();
+  {
+    SCOPED_TRACE("the wiped ledger's answer commits nothing");
+    First.append(started(1), m_Now, m_Out);
+    deliver(First, m_First, "a");
+    EXPECT_EQ(First.commitIndex(), 1U);
+  }
+  {
+    SCOPED_TRACE("the owner opens again and keeps its own entries");
+    tick(First);
+    deliver(First, m_First, "abc");
+    tick(First);
+    deliver(First, m_First, "abc");
+    EXPECT_EQ(First.phase(), OwnerPhase::Leading);
+    EXPECT_TRUE(First.entry(2).has_turn_started());
+    EXPECT_TRUE(First.entry(3).has_owner_changed());
+    EXPECT_EQ(First.commitIndex(), 3U);
+    EXPECT_TRUE(First.isQuiet());
+    EXPECT_FALSE(m_Ledgers[0].replica().find(m_Program)->m_Forgetful);
+  }
+}
+
+TEST_F(ProgramReplicationTest, CrashForgetsOnlyWhatWasNotAcknowledged) {
+  ProgramOwner First(m_Program, options("entry-1"));
+  First.create(created(), disks(), m_Now, m_Out);
+  deliver(First, m_First, "abc");
+  First.append(started(1), m_Now, m_Out);
+  for (const messages::Outgoing &Message : m_Out.take()) {
+    if (Message.m_To.str() == "a")
+      m_Ledgers[0].onMessage(m_First, Message.m_Message.program(), m_Now);
+  }
+  EXPECT_TRUE(m_Ledgers[0].takeSynced().empty());
+  m_Ledgers[0].crash();
+  const HeldProgram *Held = m_Ledgers[0].replica().find(m_Program);
+  ASSERT_NE(Held, nullptr);
+  EXPECT_EQ(Held->lastIndex(), 1U);
+  EXPECT_FALSE(Held->m_Forgetful);
+}
+
+} // namespace
+} // namespace psp::program
--- /dev/null
+++ b/tests/program.cmake
@@ -0,0 +1,1 @@
+psp_test(program_replication correctness/ProgramReplicationTest.cpp USES psp_program)
