Shells and the entry core: peer links, caller and endpoint HTTP, ports

Cause: the parts need processes around them. Each duty has its thread, joined to the deciding thread by bounded rings; the entry core and the ledger core own no socket, clock or thread. Ruled out: one shared io_context for everything, which would let a slow caller delay heartbeats; keep-alive connections to endpoints, which can break in a way that leaves open whether a call was sent.

--- /dev/null
+++ b/src/entry/EntryCore.cpp
@@ -0,0 +1,441 @@
+#include "entry/EntryCore.h"
+
+#include "base/Error.h"
+#include "base/Hash.h"
+#include "base/Placement.h"
+#include "entry/Announcements.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace psp::entry {
+
+using base::DataCentreId;
+using base::Duration;
+using base::ErrorKind;
+using base::InstanceId;
+using base::Now;
+using base::TimePoint;
+using base::UserError;
+using messages::CallerGone;
+using messages::CallerRequest;
+using messages::Envelope;
+using messages::ForwardCall;
+using settings::PeerRole;
+
+namespace {
+
+/// The organisation under which calls on routes open to all are recorded.
+constexpr const char *OpenOrganisation = "open-routes";
+
+constexpr Duration QuorumTimeout = base::milliseconds(1500);
+constexpr Duration RetransmitInterval = base::milliseconds(100);
+constexpr double RetryShare = 0.1;
+constexpr std::size_t RandomProgramBytes = 12;
+
+std::vector<InstanceId> ledgers(const settings::ProcessSettings &Process,
+                                bool LocalOnly) {
+  std::vector<InstanceId> Found;
+  for (const settings::Peer &Peer : Process.m_Peers) {
+    const bool Wanted = !LocalOnly || Peer.m_DataCentre == Process.m_DataCentre;
+    if (Peer.m_Role == PeerRole::Ledger && Wanted)
+      Found.push_back(Peer.m_Instance);
+  }
+  return Found;
+}
+
+limits::LimitOptions limitOptions(const EntryCoreOptions &Options) {
+  const settings::ProcessSettings &Process = Options.m_Settings.m_Process;
+  limits::LimitOptions Limits;
+  Limits.m_Self = Process.m_Instance;
+  Limits.m_DataCentre = Process.m_DataCentre;
+  Limits.m_IsEntry = true;
+  Limits.m_Incarnation = Options.m_Incarnation;
+  for (const settings::Peer &Peer : Process.m_Peers) {
+    Limits.m_Members.push_back({.m_Instance = Peer.m_Instance,
+                                .m_DataCentre = Peer.m_DataCentre,
+                                .m_IsEntry = Peer.m_Role == PeerRole::Entry});
+  }
+  return Limits;
+}
+
+schedule::SchedulerOptions queueOptions(const EntryCoreOptions &Options) {
+  schedule::SchedulerOptions Queue;
+  Queue.m_DataCentre = Options.m_Settings.m_Process.m_DataCentre;
+  Queue.m_MaxQueuedCalls = Options.m_Settings.m_MaxQueuedCalls;
+  Queue.m_Seed = Options.m_Seed;
+  Queue.m_RetryShare = RetryShare;
+  Queue.m_ShareCount = 1;
+  return Queue;
+}
+
+program::TableOptions tableOptions(const EntryCoreOptions &Options) {
+  const settings::ProcessSettings &Process = Options.m_Settings.m_Process;
+  program::TableOptions Table;
+  Table.m_Self = Process.m_Instance;
+  Table.m_DataCentre = Process.m_DataCentre;
+  Table.m_Ledgers = ledgers(Process, false);
+  Table.m_LocalLedgers = ledgers(Process, true);
+  Table.m_RetransmitInterval = RetransmitInterval;
+  Table.m_QuorumTimeout = QuorumTimeout;
+  Table.m_Seed = Options.m_Seed;
+  return Table;
+}
+
+membership::MembershipOptions memberOptions(const EntryCoreOptions &Options) {
+  const settings::ProcessSettings &Process = Options.m_Settings.m_Process;
+  return {.m_Self = Process.m_Instance,
+          .m_Peers = Process.m_Peers,
+          .m_HeartbeatInterval = Process.m_HeartbeatInterval,
+          .m_Timeout = Process.m_PeerTimeout,
+          .m_Incarnation = Options.m_Incarnation};
+}
+
+control::LearnerOptions learnerOptions(const EntryCoreOptions &Options) {
+  const settings::ProcessSettings &Process = Options.m_Settings.m_Process;
+  control::LearnerOptions Learner;
+  Learner.m_Self = Process.m_Instance;
+  Learner.m_Ledgers = ledgers(Process, false);
+  return Learner;
+}
+
+} // namespace
+
+EntryCore::EntryCore(EntryCoreOptions Options)
+    : m_Options(std::move(Options)),
+      m_Self(m_Options.m_Settings.m_Process.m_Instance),
+      m_DataCentre(m_Options.m_Settings.m_Process.m_DataCentre),
+      m_Members(memberOptions(m_Options)), m_Learner(learnerOptions(m_Options)),
+      m_Limits(limitOptions(m_Options), m_Options.m_Start),
+      m_Queue(queueOptions(m_Options)), m_Programs(tableOptions(m_Options)),
+      m_Edge(*this, m_Options.m_Incarnation),
+      m_Owned({.m_Self = m_Self, .m_FirstCall = 1}, *this, m_Learner.state(),
+              m_Programs, m_Queue),
+      m_Submissions(ledgers(m_Options.m_Settings.m_Process, false)) {}
+
+std::optional<Owner> EntryCore::ownerOf(const base::ProgramId &Program,
+                                        TimePoint Now) const {
+  const DataCentreId Home = program::homeOf(Program);
+  const DataCentreId Serving = control().servedBy(Home);
+  const auto Active = m_Members.activeEntries(Serving, Now);
+  if (Active.empty())
+    return std::nullopt;
+  const InstanceId Best = base::rankInstances(Program.str(), Active).front();
+  const bool IsSelf = Best == m_Self;
+  return Owner{.m_Instance = Best,
+               .m_Incarnation = IsSelf
+                                    ? m_Options.m_Incarnation
+                                    : m_Members.views().at(Best).m_Incarnation};
+}
+
+bool EntryCore::isServing(const Owner &Who, TimePoint Now) const {
+  if (Who.m_Instance == m_Self)
+    return Who.m_Incarnation == m_Options.m_Incarnation;
+  return m_Members.isReachable(Who.m_Instance, Now) &&
+         m_Members.views().at(Who.m_Instance).m_Incarnation ==
+             Who.m_Incarnation;
+}
+
+void EntryCore::onCaller(const messages::CallerEvent &Event, Now Time) {
+  if (const auto *Request = std::get_if<CallerRequest>(&Event)) {
+    onRequest(*Request, Time);
+  } else if (const auto *Gone = std::get_if<CallerGone>(&Event)) {
+    std::erase_if(m_Admissions, [&](const auto &Entry) {
+      if (Entry.second.m_Request != Gone->m_Request)
+        return false;
+      m_Limits.cancel(Entry.first);
+      return true;
+    });
+    m_Edge.onCallerGone(Gone->m_Request, m_Out);
+  }
+  settle(Time);
+}
+
+void EntryCore::onRequest(const CallerRequest &Request, Now Time) {
+  try {
+    serve(Request, parseRoute(Request), Time);
+  } catch (const UserError &Fault) {
+    m_Replies.emplace_back(
+        messages::problemAnswer(Request.m_Request, Fault.kind(), Fault.what()));
+  }
+}
+
+void EntryCore::serve(const CallerRequest &Request, const Route &Asked,
+                      Now Time) {
+  const Duration Lease = m_Options.m_Settings.m_EndpointLease;
+  switch (Asked.m_Kind) {
+  case RouteKind::Live:
+    return answer(Request.m_Request, 200, "alive\n");
+  case RouteKind::Ready:
+    return answer(Request.m_Request, isReady() ? 200 : 503,
+                  isReady() ? "ready\n" : "not ready\n");
+  case RouteKind::Metrics:
+    return answer(Request.m_Request, 200, metrics());
+  case RouteKind::Announce:
+    announce(parseAnnouncement(Request.m_Body, Lease), Time.m_Monotonic);
+    return answer(Request.m_Request, 200, "{}\n");
+  case RouteKind::Leave:
+    announce(parseLeave(Request.m_Body), Time.m_Monotonic);
+    return answer(Request.m_Request, 200, "{}\n");
+  case RouteKind::CreateProgram:
+  case RouteKind::EndProgram:
+  case RouteKind::RunCall:
+    break;
+  }
+  if (m_Draining)
+    throw UserError(ErrorKind::Stopping, "ask another instance");
+  if (!m_Learner.hasState())
+    throw UserError(ErrorKind::QuorumUnavailable,
+                    "the configuration has not arrived yet");
+  EdgeCall Call = makeCall(Request, Asked, Time);
+  if (Call.m_Kind != ForwardCall::RUN || Call.m_Key.empty())
+    return m_Edge.start(std::move(Call), Time.m_Monotonic, m_Out);
+  admit(std::move(Call), Time);
+}
+
+EdgeCall EntryCore::makeCall(const CallerRequest &Request, const Route &Asked,
+                             Now Time) const {
+  EdgeCall Call;
+  Call.m_Request = Request.m_Request;
+  Call.m_Call = Asked.m_Call;
+  Call.m_Chat = Asked.m_Chat;
+  const Duration Limit =
+      Asked.m_Deadline.value_or(m_Options.m_Settings.m_DefaultDeadline);
+  Call.m_Deadline = Time.m_Monotonic + Limit;
+  if (Asked.m_Kind == RouteKind::CreateProgram)
+    Call.m_Kind = ForwardCall::CREATE;
+  if (Asked.m_Kind == RouteKind::EndProgram)
+    Call.m_Kind = ForwardCall::END;
+  const messages::Service *Service =
+      control().findService(Asked.m_Call.service());
+  const bool Open = Service != nullptr && Service->open();
+  if (Request.m_KeyDigest) {
+    const messages::Key *Key = control().findKey(*Request.m_KeyDigest);
+    if (Key == nullptr)
+      throw UserError(ErrorKind::Unauthenticated, "the key is not known");
+    const base::KeyId Id(Key->key_id());
+    if (control().isWithdrawn(Id) || m_Withdrawn.contains(Id))
+      throw UserError(ErrorKind::KeyWithdrawn, "before the call was sent");
+    Call.m_Organisation = base::OrganisationId(Key->organisation());
+    Call.m_Key = Id;
+  } else if (Open) {
+    Call.m_Organisation = base::OrganisationId(OpenOrganisation);
+  } else {
+    throw UserError(ErrorKind::Unauthenticated,
+                    "expected Authorization: Bearer KEY");
+  }
+  if (Call.m_Kind == ForwardCall::RUN)
+    checkService(Asked, Call);
+  if (Call.m_Call.program().empty()) {
+    Call.m_OneOff = Call.m_Kind == ForwardCall::RUN;
+    Call.m_Call.set_program(
+        program::makeProgramId(m_DataCentre,
+                               base::randomBytes(RandomProgramBytes))
+            .str());
+  }
+  return Call;
+}
+
+void EntryCore::checkService(const Route &Asked, EdgeCall &Call) const {
+  const std::string &Name = Asked.m_Call.service();
+  const messages::Service *Service = control().findService(Name);
+  if (Service == nullptr)
+    throw UserError(ErrorKind::NotFound, "no service " + Name);
+  const bool IsModel = Service->kind() == messages::Service::MODEL;
+  if (IsModel != Asked.m_Chat)
+    throw UserError(ErrorKind::BadRequest,
+                    Name + ": models are called by /v1/chat/completions, "
+                           "other services by /v1/services/NAME");
+  Call.m_Repeatable = Service->repeatable();
+  if (!Call.m_Repeatable && Asked.m_Call.program().empty())
+    throw UserError(ErrorKind::BadRequest,
+                    Name + ": expected Program-Id and Program-Turn, because "
+                           "calls of this service may not be repeated");
+}
+
+void EntryCore::admit(EdgeCall Call, Now Time) {
+  const std::uint64_t Ticket = m_NextTicket++;
+  const base::OrganisationId Organisation = Call.m_Organisation;
+  const TimePoint Deadline = Call.m_Deadline;
+  m_Admissions.emplace(Ticket, std::move(Call));
+  m_Limits.admit(Ticket, Organisation, Deadline, Time.m_Monotonic, m_Out);
+}
+
+void EntryCore::takeAdmissions(Now Time) {
+  for (const limits::LimitDecision &Decision : m_Limits.takeDecisions()) {
+    const auto Found = m_Admissions.find(Decision.m_Ticket);
+    if (Found == m_Admissions.end())
+      continue;
+    EdgeCall Call = std::move(Found->second);
+    m_Admissions.erase(Found);
+    if (Decision.m_Admitted) {
+      m_Edge.start(std::move(Call), Time.m_Monotonic, m_Out);
+      continue;
+    }
+    m_Replies.emplace_back(messages::problemAnswer(
+        Call.m_Request, ErrorKind::RateLimited,
+        "organisation " + Call.m_Organisation.str(), Decision.m_RetryAfter));
+  }
+}
+
+void EntryCore::announce(messages::EndpointState State, TimePoint Now) {
+  m_Queue.announce(State, Now);
+  for (const InstanceId &Peer : m_Members.reachable(Now)) {
+    const auto &View = m_Members.views().at(Peer);
+    if (View.m_Peer.m_Role == PeerRole::Entry)
+      *m_Out.add(Peer).mutable_endpoint() = State;
+  }
+}
+
+void EntryCore::answer(messages::RequestNumber Request, int Status,
+                       std::string Body) {
+  const bool IsJson = !Body.empty() && Body.front() == '{';
+  m_Replies.emplace_back(messages::CallerAnswer{
+      .m_Request = Request,
+      .m_Status = Status,
+      .m_ContentType = IsJson ? "application/json" : "text/plain",
+      .m_Headers = {},
+      .m_Body = std::move(Body)});
+}
+
+void EntryCore::onEndpoint(const messages::EndpointEvent &Event, Now Time) {
+  m_Owned.onEndpoint(Event, Time, m_Out);
+  settle(Time);
+}
+
+void EntryCore::onPeer(const Envelope &Message, Now Time) {
+  dispatchBody(InstanceId(Message.sender()), Message, Time);
+  settle(Time);
+}
+
+void EntryCore::dispatchBody(const InstanceId &From, const Envelope &Message,
+                             Now Time) {
+  const TimePoint Moment = Time.m_Monotonic;
+  switch (Message.body_case()) {
+  case Envelope::kHeartbeat:
+    return m_Members.onHeartbeat(From, Message.heartbeat(), Moment);
+  case Envelope::kEndpoint:
+    return m_Queue.announce(Message.endpoint(), Moment);
+  case Envelope::kForwardCall:
+    return m_Owned.onForwardCall(From, Message.forward_call(), Time, m_Out);
+  case Envelope::kForwardCancel:
+    return m_Owned.onForwardCancel(From, Message.forward_cancel().call(), Time,
+                                   m_Out);
+  case Envelope::kForwardChunk:
+    return m_Edge.onChunk(From, Message.forward_chunk(), Moment, m_Out);
+  case Envelope::kForwardEnd:
+    return m_Edge.onEnd(From, Message.forward_end(), Moment, m_Out);
+  case Envelope::kWithdrawnKeys:
+    if (m_Withdrawn.merge(Message.withdrawn_keys()))
+      learn(Time);
+    return;
+  case Envelope::kLog:
+    return m_Learner.onMessage(From, Message.log(), Time, m_Out);
+  case Envelope::kProgram:
+    return m_Programs.onMessage(From, Message.program(), Time, m_Out);
+  case Envelope::kLimit:
+    return m_Limits.onMessage(From, Message.limit(), Moment, m_Out);
+  case Envelope::kSubmitResult:
+    return m_Submissions.onResult(Message.submit_result(), Moment);
+  case Envelope::kSubmitCommand:
+  case Envelope::BODY_NOT_SET:
+    return;
+  }
+}
+
+void EntryCore::onTick(Now Time) {
+  const TimePoint Moment = Time.m_Monotonic;
+  m_Members.onTick(Moment, control().appliedIndex(), m_Out);
+  m_Learner.onTick(Time, m_Out);
+  const auto Reachable = m_Members.reachable(Moment);
+  m_Limits.setReachable(Reachable, Moment);
+  m_Limits.onTick(Moment, m_Out);
+  const auto Here = m_Members.activeEntries(m_DataCentre, Moment);
+  const auto Share = std::max<std::size_t>(Here.size(), 1);
+  m_Queue.setShareCount(static_cast<std::uint32_t>(Share), Moment);
+  m_Programs.onTick(Time, m_Out);
+  m_Edge.onTick(Moment, m_Out);
+  m_Owned.onTick(Time, m_Out);
+  m_Submissions.onTick(Moment, m_Out);
+  m_Withdrawn.onTick(Moment, control(), Reachable, m_Out);
+  settle(Time);
+}
+
+/// Acts on what the control log or a peer has told since the last time.
+void EntryCore::learn(Now Time) {
+  m_LearnedIndex = control().appliedIndex();
+  std::vector<limits::OrganisationRate> Rates;
+  for (const auto &Organisation : control().configuration().organisations()) {
+    Rates.push_back(
+        {.m_Organisation = base::OrganisationId(Organisation.name()),
+         .m_RatePerSecond = Organisation.rate_per_second(),
+         .m_Burst = Organisation.burst()});
+  }
+  m_Limits.setRates(control().configuration().number(), std::move(Rates),
+                    Time.m_Monotonic);
+  m_Edge.endWithdrawn(
+      [this](const base::KeyId &Key) {
+        return control().isWithdrawn(Key) || m_Withdrawn.contains(Key);
+      },
+      m_Out);
+}
+
+void EntryCore::withdrawKey(const base::KeyId &Key, Now Time) {
+  if (m_Withdrawn.add(Key)) {
+    learn(Time);
+    m_Withdrawn.spread(m_Members.reachable(Time.m_Monotonic), m_Out);
+  }
+  settle(Time);
+}
+
+void EntryCore::submit(std::uint64_t Ticket,
+                       const messages::ControlCommand &Command, Now Time) {
+  m_Submissions.start(Ticket, Command, Time.m_Monotonic, m_Out);
+  settle(Time);
+}
+
+void EntryCore::drain(Now Time) {
+  m_Draining = true;
+  m_Members.stop(Time.m_Monotonic, m_Out);
+  m_Owned.drain();
+  m_Limits.release(Time.m_Monotonic, m_Out);
+  settle(Time);
+}
+
+bool EntryCore::isDrained() const {
+  return m_Draining && m_Edge.count() == 0 && m_Owned.count() == 0 &&
+         m_Admissions.empty();
+}
+
+bool EntryCore::isReady() const { return !m_Draining && m_Learner.hasState(); }
+
+void EntryCore::settle(Now Time) {
+  bool Idle = false;
+  while (!Idle) {
+    if (control().appliedIndex() != m_LearnedIndex)
+      learn(Time);
+    takeAdmissions(Time);
+    m_Owned.advance(Time, m_Out);
+    Idle = true;
+    for (messages::Outgoing &Next : m_Out.take()) {
+      if (Next.m_To == m_Self) {
+        dispatchBody(m_Self, Next.m_Message, Time);
+        Idle = false;
+      } else {
+        m_Outgoing.push_back(std::move(Next));
+      }
+    }
+  }
+}
+
+EntryOutput EntryCore::takeOutput() {
+  auto Replies = std::exchange(m_Replies, {});
+  for (auto &Reply : m_Edge.takeReplies())
+    Replies.push_back(std::move(Reply));
+  return {.m_Messages = std::exchange(m_Outgoing, {}),
+          .m_Replies = std::move(Replies),
+          .m_Commands = m_Owned.takeCommands(),
+          .m_Decided = m_Submissions.takeDecided()};
+}
+
+} // namespace psp::entry
--- /dev/null
+++ b/src/entry/EntryCore.h
@@ -0,0 +1,130 @@
+/// \file
+/// Everything that an entry instance decides, as one state machine over
+/// events and time. It owns no socket, clock or thread: the program around it
+/// feeds events in and carries out what comes out.
+
+#ifndef PSP_ENTRY_ENTRYCORE_H
+#define PSP_ENTRY_ENTRYCORE_H
+
+#include "control/Learner.h"
+#include "entry/EdgeCalls.h"
+#include "entry/OwnedCalls.h"
+#include "entry/OwnerDirectory.h"
+#include "entry/Route.h"
+#include "entry/Submissions.h"
+#include "entry/WithdrawnKeys.h"
+#include "limits/RateLimits.h"
+#include "membership/Membership.h"
+#include "messages/CallerMessages.h"
+#include "messages/EndpointMessages.h"
+#include "program/ProgramTable.h"
+#include "schedule/Scheduler.h"
+#include "settings/Settings.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace psp::entry {
+
+struct EntryCoreOptions {
+  settings::EntrySettings m_Settings;
+  /// Higher than that of any earlier run of this instance.
+  std::uint64_t m_Incarnation = 0;
+  std::uint64_t m_Seed = 0;
+  base::TimePoint m_Start;
+};
+
+/// What an entry instance wants done.
+struct EntryOutput {
+  std::vector<messages::Outgoing> m_Messages;
+  std::vector<messages::CallerReply> m_Replies;
+  std::vector<messages::EndpointCommand> m_Commands;
+  std::vector<DecidedSubmission> m_Decided;
+};
+
+class EntryCore final : public OwnerDirectory {
+public:
+  explicit EntryCore(EntryCoreOptions Options);
+
+  /// Commands: one for each source of events.
+  void onCaller(const messages::CallerEvent &Event, base::Now Time);
+  void onPeer(const messages::Envelope &Message, base::Now Time);
+  void onEndpoint(const messages::EndpointEvent &Event, base::Now Time);
+  void onTick(base::Now Time);
+
+  /// Starts a planned stop: takes no further work and hands over.
+  void drain(base::Now Time);
+
+  /// Withdraws \p Key on every instance that can be reached, whether or not
+  /// the control log can accept the withdrawal now.
+  void withdrawKey(const base::KeyId &Key, base::Now Time);
+
+  /// Submits an operator's command; the result comes with takeOutput().
+  void submit(std::uint64_t Ticket, const messages::ControlCommand &Command,
+              base::Now Time);
+
+  EntryOutput takeOutput();
+
+  /// Queries.
+  std::optional<Owner> ownerOf(const base::ProgramId &Program,
+                               base::TimePoint Now) const override;
+  bool isServing(const Owner &Who, base::TimePoint Now) const override;
+  /// True when a planned stop may end the process.
+  bool isDrained() const;
+  bool isReady() const;
+  std::string status(base::Now Time) const;
+  std::string dump(base::Now Time) const;
+  std::string metrics() const;
+  std::vector<messages::EndpointState> endpointStates(base::Now Time) const;
+  const control::ControlState &control() const { return m_Learner.state(); }
+  const membership::Membership &members() const { return m_Members; }
+  const schedule::EndpointRegistry &endpoints() const {
+    return m_Queue.endpoints();
+  }
+
+private:
+  void onRequest(const messages::CallerRequest &Request, base::Now Time);
+  void serve(const messages::CallerRequest &Request, const Route &Asked,
+             base::Now Time);
+  EdgeCall makeCall(const messages::CallerRequest &Request, const Route &Asked,
+                    base::Now Time) const;
+  void checkService(const Route &Asked, EdgeCall &Call) const;
+  void admit(EdgeCall Call, base::Now Time);
+  void takeAdmissions(base::Now Time);
+  void announce(messages::EndpointState State, base::TimePoint Now);
+  void answer(messages::RequestNumber Request, int Status, std::string Body);
+  void learn(base::Now Time);
+  void dispatchBody(const base::InstanceId &From,
+                    const messages::Envelope &Message, base::Now Time);
+  /// Ends every command: acts on what was decided and delivers messages that
+  /// this instance sent to itself.
+  void settle(base::Now Time);
+
+  EntryCoreOptions m_Options;
+  base::InstanceId m_Self;
+  base::DataCentreId m_DataCentre;
+  membership::Membership m_Members;
+  control::Learner m_Learner;
+  limits::RateLimits m_Limits;
+  schedule::Scheduler m_Queue;
+  program::ProgramTable m_Programs;
+  EdgeCalls m_Edge;
+  OwnedCalls m_Owned;
+  WithdrawnKeys m_Withdrawn;
+  Submissions m_Submissions;
+  messages::Outbox m_Out;
+  std::vector<messages::Outgoing> m_Outgoing;
+  std::vector<messages::CallerReply> m_Replies;
+  std::map<std::uint64_t, EdgeCall> m_Admissions; ///< By ticket.
+  std::uint64_t m_NextTicket = 1;
+  std::uint64_t m_NextProgram = 1;
+  std::uint64_t m_LearnedIndex = 0;
+  bool m_Draining = false;
+};
+
+} // namespace psp::entry
+
+#endif
--- /dev/null
+++ b/src/entry/EventStream.h
@@ -0,0 +1,51 @@
+/// \file
+/// Reads the server-sent events of a model endpoint as they arrive: pieces of
+/// text, the use of tokens, and the end mark.
+
+#ifndef PSP_ENTRY_EVENTSTREAM_H
+#define PSP_ENTRY_EVENTSTREAM_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace psp::entry {
+
+/// Tokens that a call used, as the endpoint reports them.
+struct TokenUse {
+  std::uint64_t m_Prompt = 0;
+  std::uint64_t m_Completion = 0;
+  std::uint64_t m_Cached = 0; ///< Part of the prompt found in its cache.
+
+  bool operator==(const TokenUse &) const = default;
+};
+
+/// Splits a byte stream into events of the chat completions shape.
+///
+/// Example: feeding `data: {"choices":[{"delta":{"content":"hi"}}]}` and a
+/// blank line returns "hi".
+class EventStream {
+public:
+  /// Takes the next bytes and returns the text that became complete. Throws
+  /// UserError (endpoint-failed) when an event isn't what was expected.
+  std::string feed(std::string_view Bytes);
+
+  bool isDone() const { return m_Done; }
+  const TokenUse &use() const { return m_Use; }
+
+  /// Events that carried text, for a resume with Last-Event-ID.
+  std::uint64_t eventsSeen() const { return m_EventsSeen; }
+
+private:
+  std::string takeLine(std::string_view Line);
+
+  std::string m_Partial;
+  TokenUse m_Use;
+  std::uint64_t m_EventsSeen = 0;
+  bool m_Done = false;
+};
+
+} // namespace psp::entry
+
+#endif
--- /dev/null
+++ b/src/entry/MemoryReleases.cpp
@@ -0,0 +1,95 @@
+#include "entry/MemoryReleases.h"
+
+#include <utility>
+
+namespace psp::entry {
+
+using base::TimePoint;
+using messages::ExchangeEnd;
+using messages::ExchangeFailed;
+using messages::ExchangeHead;
+
+namespace {
+
+constexpr base::Duration RetryPause = base::seconds(1);
+constexpr base::Duration ReleaseTimeout = base::seconds(2);
+constexpr unsigned FirstErrorStatus = 400;
+
+/// The number of the exchange that \p Event is about.
+messages::ExchangeNumber exchangeOf(const messages::EndpointEvent &Event) {
+  return std::visit(
+      [](const auto &Value) -> messages::ExchangeNumber {
+        if constexpr (requires { Value.m_Exchange; })
+          return Value.m_Exchange;
+        else
+          return 0;
+      },
+      Event);
+}
+
+} // namespace
+
+MemoryReleases::MemoryReleases(const schedule::EndpointRegistry &Endpoints,
+                               messages::ExchangeNumber &NextExchange)
+    : m_Endpoints(Endpoints), m_NextExchange(NextExchange) {}
+
+void MemoryReleases::add(const base::ProgramId &Program,
+                         const base::EndpointId &Endpoint, TimePoint Now) {
+  send({.m_Program = Program, .m_Endpoint = Endpoint, .m_NextTry = Now});
+}
+
+void MemoryReleases::send(Release Next) {
+  const auto *Endpoint = m_Endpoints.find(Next.m_Endpoint);
+  if (Endpoint == nullptr)
+    return; // An endpoint that has gone holds no memory.
+  messages::StartExchange Start;
+  Start.m_Exchange = m_NextExchange++;
+  Start.m_Address = Endpoint->address();
+  Start.m_Target = "/v1/release";
+  Start.m_Headers = {{"Content-Type", "application/json"}};
+  // Identifiers of programs need no escape in JSON.
+  Start.m_Body = "{\"program\":\"" + Next.m_Program.str() + "\"}";
+  Start.m_IdleTimeout = ReleaseTimeout;
+  m_Sent.emplace(Start.m_Exchange, std::move(Next));
+  m_Commands.emplace_back(std::move(Start));
+}
+
+bool MemoryReleases::onEvent(const messages::EndpointEvent &Event,
+                             TimePoint Now) {
+  const auto Found = m_Sent.find(exchangeOf(Event));
+  if (Found == m_Sent.end())
+    return false;
+  if (const auto *Head = std::get_if<ExchangeHead>(&Event))
+    Found->second.m_Status = Head->m_Status;
+  else if (std::holds_alternative<ExchangeEnd>(Event))
+    settle(Found->first, true, Now);
+  else if (std::holds_alternative<ExchangeFailed>(Event))
+    settle(Found->first, false, Now);
+  return true;
+}
+
+void MemoryReleases::settle(messages::ExchangeNumber Exchange, bool Whole,
+                            TimePoint Now) {
+  const auto Found = m_Sent.find(Exchange);
+  Release Done = std::move(Found->second);
+  m_Sent.erase(Found);
+  if (Whole && Done.m_Status < FirstErrorStatus)
+    return;
+  Done.m_NextTry = Now + RetryPause;
+  m_Waiting.push_back(std::move(Done));
+}
+
+void MemoryReleases::onTick(TimePoint Now) {
+  for (Release &Next : std::exchange(m_Waiting, {})) {
+    if (Now < Next.m_NextTry)
+      m_Waiting.push_back(std::move(Next));
+    else
+      send(std::move(Next));
+  }
+}
+
+std::vector<messages::EndpointCommand> MemoryReleases::takeCommands() {
+  return std::exchange(m_Commands, {});
+}
+
+} // namespace psp::entry
--- /dev/null
+++ b/src/entry/MemoryReleases.h
@@ -0,0 +1,54 @@
+/// \file
+/// Tells endpoints to free the memory of programs that are gone, again and
+/// again until each has answered or has gone itself.
+
+#ifndef PSP_ENTRY_MEMORYRELEASES_H
+#define PSP_ENTRY_MEMORYRELEASES_H
+
+#include "base/Ids.h"
+#include "base/Time.h"
+#include "messages/EndpointMessages.h"
+#include "schedule/EndpointRegistry.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace psp::entry {
+
+class MemoryReleases {
+public:
+  /// Exchange numbers are drawn from \p NextExchange.
+  MemoryReleases(const schedule::EndpointRegistry &Endpoints,
+                 messages::ExchangeNumber &NextExchange);
+
+  void add(const base::ProgramId &Program, const base::EndpointId &Endpoint,
+           base::TimePoint Now);
+  /// Returns true when \p Event belongs to a release.
+  bool onEvent(const messages::EndpointEvent &Event, base::TimePoint Now);
+  void onTick(base::TimePoint Now);
+  std::vector<messages::EndpointCommand> takeCommands();
+
+  std::size_t waiting() const { return m_Waiting.size() + m_Sent.size(); }
+
+private:
+  struct Release {
+    base::ProgramId m_Program;
+    base::EndpointId m_Endpoint;
+    base::TimePoint m_NextTry;
+    unsigned m_Status = 0;
+  };
+
+  void send(Release Next);
+  void settle(messages::ExchangeNumber Exchange, bool Whole,
+              base::TimePoint Now);
+
+  const schedule::EndpointRegistry &m_Endpoints;
+  messages::ExchangeNumber &m_NextExchange;
+  std::vector<Release> m_Waiting;
+  std::unordered_map<messages::ExchangeNumber, Release> m_Sent;
+  std::vector<messages::EndpointCommand> m_Commands;
+};
+
+} // namespace psp::entry
+
+#endif
--- /dev/null
+++ b/src/entry/Submissions.h
@@ -0,0 +1,54 @@
+/// \file
+/// Operators' commands on their way from this instance to the leader of the
+/// control log. A command is sent again, to the next ledger, until one has
+/// answered for the whole log; its request identifier makes that safe.
+
+#ifndef PSP_ENTRY_SUBMISSIONS_H
+#define PSP_ENTRY_SUBMISSIONS_H
+
+#include "base/Ids.h"
+#include "base/Time.h"
+#include "generated/peer.pb.h"
+#include "messages/Outbox.h"
+
+#include <map>
+#include <vector>
+
+namespace psp::entry {
+
+/// A submission that was answered or given up.
+struct DecidedSubmission {
+  std::uint64_t m_Ticket = 0;
+  messages::ControlResult m_Result;
+};
+
+class Submissions {
+public:
+  explicit Submissions(std::vector<base::InstanceId> Ledgers);
+
+  void start(std::uint64_t Ticket, const messages::ControlCommand &Command,
+             base::TimePoint Now, messages::Outbox &Out);
+  void onResult(const messages::SubmitResult &Message, base::TimePoint Now);
+  void onTick(base::TimePoint Now, messages::Outbox &Out);
+  std::vector<DecidedSubmission> takeDecided();
+
+private:
+  struct Pending {
+    messages::ControlCommand m_Command;
+    base::TimePoint m_GiveUp;
+    base::TimePoint m_NextTry;
+  };
+
+  void send(std::uint64_t Ticket, Pending &Waiting, base::TimePoint Now,
+            messages::Outbox &Out);
+  void decide(std::uint64_t Ticket, const messages::ControlResult &Result);
+
+  std::vector<base::InstanceId> m_Ledgers;
+  std::size_t m_Next = 0; ///< The ledger to ask; the leader, once known.
+  std::map<std::uint64_t, Pending> m_Pending;
+  std::vector<DecidedSubmission> m_Decided;
+};
+
+} // namespace psp::entry
+
+#endif
--- /dev/null
+++ b/src/net/CallerServer.cpp
@@ -0,0 +1,371 @@
+#include "net/CallerServer.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <glog/logging.h>
+
+#include <cctype>
+#include <deque>
+#include <unordered_map>
+#include <utility>
+
+namespace psp::net {
+
+using messages::AnswerHeader;
+using messages::CallerAnswer;
+using messages::CallerGone;
+using messages::CallerReply;
+using messages::CallerRequest;
+using messages::problemAnswer;
+using messages::RequestNumber;
+using messages::StreamBegin;
+using messages::StreamEnd;
+using messages::StreamPart;
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using base::ErrorKind;
+using boost::system::error_code;
+
+namespace {
+
+/// How long a caller may take to receive what is sent to it.
+constexpr auto WriteTimeout = std::chrono::seconds(30);
+
+constexpr std::string_view BearerPrefix = "bearer ";
+
+/// The digest of the bearer token in \p Header, if there is one.
+std::optional<base::Digest> digestOfKey(std::string_view Header) {
+  if (Header.size() <= BearerPrefix.size())
+    return std::nullopt;
+  for (std::size_t I = 0; I < BearerPrefix.size(); ++I) {
+    const auto Letter = static_cast<unsigned char>(Header[I]);
+    if (std::tolower(Letter) != BearerPrefix[I])
+      return std::nullopt;
+  }
+  return base::sha256(Header.substr(BearerPrefix.size()));
+}
+
+template <typename Fields>
+std::string field(const Fields &Message, std::string_view Name) {
+  const auto Found = Message.find(beast::string_view(Name.data(), Name.size()));
+  if (Found == Message.end())
+    return {};
+  return std::string(Found->value());
+}
+
+} // namespace
+
+struct CallerServer::Impl : std::enable_shared_from_this<CallerServer::Impl> {
+  class Session;
+
+  Impl(CallerServerOptions Options, asio::io_context &Context, Receiver Receive)
+      : m_Options(std::move(Options)), m_Context(Context),
+        m_Receive(std::move(Receive)), m_Acceptor(Context) {}
+
+  void accept();
+
+  CallerServerOptions m_Options;
+  asio::io_context &m_Context;
+  Receiver m_Receive;
+  tcp::acceptor m_Acceptor;
+  RequestNumber m_NextRequest = 1;
+  std::size_t m_Connections = 0;
+  bool m_Draining = false;
+  std::unordered_map<RequestNumber, std::weak_ptr<Session>> m_Sessions;
+};
+
+/// One caller's connection.
+class CallerServer::Impl::Session
+    : public std::enable_shared_from_this<Session> {
+public:
+  Session(std::shared_ptr<Impl> Server, tcp::socket Socket)
+      : m_Server(std::move(Server)), m_Stream(std::move(Socket)) {
+    ++m_Server->m_Connections;
+  }
+  Session(const Session &) = delete;
+  Session &operator=(const Session &) = delete;
+  ~Session() { --m_Server->m_Connections; }
+
+  void start() {
+    error_code Ignored;
+    m_Stream.socket().set_option(tcp::no_delay(true), Ignored);
+    read();
+  }
+
+  void answer(const CallerAnswer &Answer) {
+    http::response<http::string_body> Response;
+    Response.result(static_cast<unsigned>(Answer.m_Status));
+    Response.set(http::field::content_type, Answer.m_ContentType);
+    setHeaders(Response, Answer.m_Headers);
+    Response.body() = Answer.m_Body;
+    Response.keep_alive(m_KeepAlive);
+    Response.prepare_payload();
+    queue(serialise(Response));
+    finish();
+  }
+
+  void begin(const StreamBegin &Begin) {
+    http::response<http::empty_body> Response;
+    Response.result(http::status::ok);
+    Response.set(http::field::content_type, "text/event-stream");
+    Response.set(http::field::cache_control, "no-store");
+    setHeaders(Response, Begin.m_Headers);
+    Response.keep_alive(m_KeepAlive);
+    Response.chunked(true);
+    m_Streaming = true;
+    std::ostringstream Head;
+    Head << Response.base();
+    queue(Head.str());
+  }
+
+  void part(const StreamPart &Part) {
+    if (Part.m_Data.empty())
+      return;
+    std::ostringstream Chunk;
+    Chunk << std::hex << Part.m_Data.size() << "\r\n";
+    queue(Chunk.str() + Part.m_Data + "\r\n");
+  }
+
+  void end(const StreamEnd &End) {
+    if (!End.m_Whole)
+      m_KeepAlive = false;
+    else
+      queue("0\r\n\r\n");
+    finish();
+  }
+
+private:
+  template <typename Response>
+  void setHeaders(Response &Out, const std::vector<AnswerHeader> &Headers) {
+    Out.set(http::field::server, "pistachiospool");
+    for (const AnswerHeader &Header : Headers)
+      Out.set(Header.m_Name, Header.m_Value);
+  }
+
+  static std::string
+  serialise(const http::response<http::string_body> &Response) {
+    std::ostringstream Text;
+    Text << Response;
+    return Text.str();
+  }
+
+  void read() {
+    if (m_Server->m_Draining)
+      return close();
+    m_Parser.emplace();
+    m_Parser->header_limit(
+        static_cast<std::uint32_t>(m_Server->m_Options.m_MaxHeaderBytes));
+    m_Parser->body_limit(m_Server->m_Options.m_MaxBodyBytes);
+    m_Stream.expires_after(m_Server->m_Options.m_IdleTimeout);
+    http::async_read(m_Stream, m_Buffer, *m_Parser,
+                     [Self = shared_from_this()](error_code Error, size_t) {
+                       Self->received(Error);
+                     });
+  }
+
+  void received(error_code Error) {
+    m_Stream.expires_never();
+    if (Error)
+      return refuse(Error);
+    const auto &Message = m_Parser->get();
+    m_KeepAlive = Message.keep_alive();
+    m_Request = m_Server->m_NextRequest++;
+    CallerRequest Request = {
+        .m_Request = m_Request,
+        .m_Method = std::string(Message.method_string()),
+        .m_Target = std::string(Message.target()),
+        .m_Body = std::move(m_Parser->get().body()),
+        .m_ContentType = field(Message, "Content-Type"),
+        .m_KeyDigest = digestOfKey(field(Message, "Authorization")),
+        .m_ProgramId = field(Message, "Program-Id"),
+        .m_ProgramTurn = field(Message, "Program-Turn"),
+        .m_IdempotencyKey = field(Message, "Idempotency-Key"),
+        .m_DeadlineMs = field(Message, "Deadline-Ms"),
+    };
+    m_Server->m_Sessions[m_Request] = weak_from_this();
+    if (!m_Server->m_Receive(std::move(Request))) {
+      return answer(problemAnswer(m_Request, ErrorKind::Overloaded,
+                                  "the instance has no room for requests"));
+    }
+    watch();
+  }
+
+  /// Answers input that isn't a request, as far as the caller can still be
+  /// told, and closes the connection.
+  void refuse(error_code Error) {
+    const bool Silent = Error == http::error::end_of_stream ||
+                        Error == beast::error::timeout ||
+                        Error == asio::error::operation_aborted ||
+                        Error == asio::error::connection_reset ||
+                        Error == http::error::partial_message;
+    if (Silent)
+      return close();
+    m_KeepAlive = false;
+    const ErrorKind Kind = Error == http::error::body_limit
+                               ? ErrorKind::BodyTooLarge
+                               : ErrorKind::BadRequest;
+    answer(problemAnswer(m_Request, Kind,
+                         "malformed HTTP request: " + Error.message()));
+  }
+
+  /// Notices a caller that hangs up while its call is under way.
+  void watch() {
+    m_Stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [Self = weak_from_this(), Request = m_Request](error_code Error) {
+          const auto Alive = Self.lock();
+          if (Alive && !Error && Alive->m_Request == Request)
+            Alive->readable();
+        });
+  }
+
+  void readable() {
+    char Byte = 0;
+    error_code Error;
+    m_Stream.socket().non_blocking(true, Error);
+    m_Stream.socket().receive(asio::buffer(&Byte, 1), tcp::socket::message_peek,
+                              Error);
+    if (!Error || Error == asio::error::would_block)
+      return; // The caller sent its next request early.
+    hangUp();
+  }
+
+  /// Forgets the request under way and tells the deciding thread.
+  void hangUp() {
+    if (m_Request != 0) {
+      m_Server->m_Sessions.erase(m_Request);
+      m_Server->m_Receive(CallerGone{.m_Request = m_Request});
+      m_Request = 0;
+    }
+    close();
+  }
+
+  void finish() {
+    m_Server->m_Sessions.erase(m_Request);
+    m_Request = 0;
+    m_Streaming = false;
+    m_Finished = true;
+    if (!m_Writing)
+      next();
+  }
+
+  /// What follows an answer that is wholly written.
+  void next() {
+    m_Finished = false;
+    if (!m_KeepAlive)
+      return close();
+    read();
+  }
+
+  void queue(std::string Bytes) {
+    m_Waiting.push_back(std::move(Bytes));
+    if (!m_Writing)
+      write();
+  }
+
+  void write() {
+    m_Writing = true;
+    m_InFlight.swap(m_Waiting);
+    std::vector<asio::const_buffer> Buffers;
+    Buffers.reserve(m_InFlight.size());
+    for (const std::string &Bytes : m_InFlight)
+      Buffers.emplace_back(asio::buffer(Bytes));
+    m_Stream.expires_after(WriteTimeout);
+    asio::async_write(m_Stream, Buffers,
+                      [Self = shared_from_this()](error_code Error, size_t) {
+                        Self->written(Error);
+                      });
+  }
+
+  void written(error_code Error) {
+    m_Stream.expires_never();
+    m_InFlight.clear();
+    m_Writing = false;
+    if (Error)
+      return hangUp();
+    if (!m_Waiting.empty())
+      return write();
+    if (m_Finished)
+      next();
+  }
+
+  void close() {
+    error_code Ignored;
+    m_Stream.socket().shutdown(tcp::socket::shutdown_both, Ignored);
+    m_Stream.close();
+  }
+
+  std::shared_ptr<Impl> m_Server;
+  beast::tcp_stream m_Stream;
+  beast::flat_buffer m_Buffer;
+  std::optional<http::request_parser<http::string_body>> m_Parser;
+  RequestNumber m_Request = 0;
+  bool m_KeepAlive = false;
+  bool m_Streaming = false;
+  bool m_Finished = false;
+  bool m_Writing = false;
+  std::vector<std::string> m_Waiting;
+  std::vector<std::string> m_InFlight;
+};
+
+void CallerServer::Impl::accept() {
+  m_Acceptor.async_accept([Self = shared_from_this()](error_code Error,
+                                                      tcp::socket Socket) {
+    if (Error == asio::error::operation_aborted)
+      return;
+    const bool Room = Self->m_Connections < Self->m_Options.m_MaxConnections;
+    if (!Error && Room)
+      std::make_shared<Session>(Self, std::move(Socket))->start();
+    if (Self->m_Acceptor.is_open())
+      Self->accept();
+  });
+}
+
+CallerServer::CallerServer(CallerServerOptions Options, IoThread &Thread,
+                           Receiver Receive)
+    : m_Impl(std::make_shared<Impl>(std::move(Options), Thread.context(),
+                                    std::move(Receive))) {}
+
+CallerServer::~CallerServer() = default;
+
+void CallerServer::start() {
+  const settings::Address &Listen = m_Impl->m_Options.m_Listen;
+  const tcp::endpoint Where(asio::ip::make_address(Listen.m_Ip), Listen.m_Port);
+  m_Impl->m_Acceptor.open(Where.protocol());
+  m_Impl->m_Acceptor.set_option(tcp::acceptor::reuse_address(true));
+  m_Impl->m_Acceptor.bind(Where);
+  m_Impl->m_Acceptor.listen();
+  m_Impl->accept();
+}
+
+void CallerServer::drain() {
+  m_Impl->m_Draining = true;
+  error_code Ignored;
+  m_Impl->m_Acceptor.close(Ignored);
+}
+
+void CallerServer::reply(CallerReply Reply) {
+  const auto Deliver = [this](const auto &Part, auto Member) {
+    const auto Found = m_Impl->m_Sessions.find(Part.m_Request);
+    if (Found == m_Impl->m_Sessions.end())
+      return;
+    if (const auto Target = Found->second.lock())
+      (*Target.*Member)(Part);
+  };
+  if (const auto *Answer = std::get_if<CallerAnswer>(&Reply))
+    Deliver(*Answer, &Impl::Session::answer);
+  else if (const auto *Begin = std::get_if<StreamBegin>(&Reply))
+    Deliver(*Begin, &Impl::Session::begin);
+  else if (const auto *Part = std::get_if<StreamPart>(&Reply))
+    Deliver(*Part, &Impl::Session::part);
+  else if (const auto *End = std::get_if<StreamEnd>(&Reply))
+    Deliver(*End, &Impl::Session::end);
+}
+
+std::size_t CallerServer::connections() const { return m_Impl->m_Connections; }
+
+} // namespace psp::net
--- /dev/null
+++ b/src/net/CallerServer.h
@@ -0,0 +1,57 @@
+/// \file
+/// The HTTP/1.1 server for callers, endpoints' announcements and the
+/// platform, on Boost.Beast.
+
+#ifndef PSP_NET_CALLERSERVER_H
+#define PSP_NET_CALLERSERVER_H
+
+#include "base/Time.h"
+#include "messages/CallerMessages.h"
+#include "net/IoThread.h"
+#include "settings/Settings.h"
+
+#include <functional>
+#include <memory>
+
+namespace psp::net {
+
+struct CallerServerOptions {
+  settings::Address m_Listen;
+  std::size_t m_MaxBodyBytes = 0;
+  std::size_t m_MaxHeaderBytes = 0;
+  std::size_t m_MaxConnections = 10000;
+  base::Duration m_IdleTimeout = base::seconds(30);
+};
+
+/// Accepts connections and serves one request at a time on each. Everything
+/// but the constructor runs on the thread that was given.
+class CallerServer {
+public:
+  /// Returns false when the event can't be taken now; the request is then
+  /// answered with `overloaded`.
+  using Receiver = std::function<bool(messages::CallerEvent)>;
+
+  CallerServer(CallerServerOptions Options, IoThread &Thread, Receiver Receive);
+  CallerServer(const CallerServer &) = delete;
+  CallerServer &operator=(const CallerServer &) = delete;
+  ~CallerServer();
+
+  /// Binds and begins to accept. Throws when the address can't be bound.
+  void start();
+
+  /// Accepts no further connections and closes idle ones.
+  void drain();
+
+  /// Sends one reply. A reply to a request that is gone is dropped.
+  void reply(messages::CallerReply Reply);
+
+  std::size_t connections() const;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> m_Impl;
+};
+
+} // namespace psp::net
+
+#endif
--- /dev/null
+++ b/src/net/EndpointPort.cpp
@@ -0,0 +1,64 @@
+#include "net/EndpointPort.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace psp::net {
+
+namespace {
+constexpr std::size_t RingCapacity = 16384;
+constexpr auto FlushPause = std::chrono::milliseconds(1);
+} // namespace
+
+struct EndpointPort::Timer {
+  boost::asio::steady_timer m_Timer;
+  bool m_Armed = false;
+};
+
+EndpointPort::EndpointPort(base::Waker &Decisions)
+    : m_Thread("endpoints"), m_Waker(m_Thread, [this] { deliver(); }),
+      m_Incoming(RingCapacity, [&Decisions] { Decisions.wake(); }),
+      m_Receiver(m_Incoming),
+      m_Outgoing(RingCapacity, [this] { m_Waker.wake(); }),
+      m_Sender(m_Outgoing), m_Client(m_Thread,
+                                     [this](messages::EndpointEvent Event) {
+                                       receive(std::move(Event));
+                                     }),
+      m_Timer(std::make_unique<Timer>(
+          boost::asio::steady_timer(m_Thread.context()), false)) {}
+
+EndpointPort::~EndpointPort() { stop(); }
+
+void EndpointPort::start() { m_Thread.start(); }
+
+void EndpointPort::stop() { m_Thread.stop(); }
+
+void EndpointPort::deliver() {
+  m_Outgoing.drain([this](messages::EndpointCommand Command) {
+    m_Client.execute(std::move(Command));
+  });
+}
+
+/// Pieces of answers must not be lost: what finds no room waits here.
+void EndpointPort::receive(messages::EndpointEvent Event) {
+  m_Receiver.send(std::move(Event));
+  if (m_Receiver.waiting() > 0)
+    flushLater();
+}
+
+void EndpointPort::flushLater() {
+  if (m_Timer->m_Armed)
+    return;
+  m_Timer->m_Armed = true;
+  m_Timer->m_Timer.expires_after(FlushPause);
+  m_Timer->m_Timer.async_wait([this](boost::system::error_code Error) {
+    if (Error)
+      return;
+    m_Timer->m_Armed = false;
+    m_Receiver.flush();
+    if (m_Receiver.waiting() > 0)
+      flushLater();
+  });
+}
+
+} // namespace psp::net
--- /dev/null
+++ b/src/net/PeerPort.h
@@ -0,0 +1,54 @@
+/// \file
+/// The peers' thread together with the rings that join it to the deciding
+/// thread. The same for entry instances and ledgers.
+
+#ifndef PSP_NET_PEERPORT_H
+#define PSP_NET_PEERPORT_H
+
+#include "base/BoundedRing.h"
+#include "base/RingSender.h"
+#include "base/Waker.h"
+#include "messages/Outbox.h"
+#include "net/IoThread.h"
+#include "net/PeerMesh.h"
+
+#include <set>
+
+namespace psp::net {
+
+class PeerPort {
+public:
+  /// \p Decisions is woken when messages have arrived.
+  PeerPort(PeerMeshOptions Options, base::Waker &Decisions);
+
+  /// Binds the address and starts the thread.
+  void start();
+  void stop();
+
+  /// For the deciding thread.
+  void send(messages::Outgoing Message) { m_Sender.send(std::move(Message)); }
+  void flush() { m_Sender.flush(); }
+  template <typename Handler> void drain(Handler Handle) {
+    m_Incoming.drain(Handle);
+  }
+
+  /// Drops everything from and to \p Instances, for failure tests.
+  void block(std::set<base::InstanceId> Instances);
+
+  /// Messages that arrived while the deciding thread was too far behind.
+  std::uint64_t dropped() const { return m_Incoming.refused(); }
+
+private:
+  void deliver();
+
+  IoThread m_Thread;
+  IoWaker m_Waker;
+  base::BoundedRing<messages::Envelope> m_Incoming;
+  base::BoundedRing<messages::Outgoing> m_Outgoing;
+  base::RingSender<messages::Outgoing> m_Sender;
+  PeerMesh m_Mesh;
+};
+
+} // namespace psp::net
+
+#endif
--- /dev/null
+++ b/src/programs/entry/Main.cpp
@@ -0,0 +1,41 @@
+/// \file
+/// psp-entry: an entry instance.
+
+#include "base/Error.h"
+#include "net/StopSignals.h"
+#include "programs/entry/EntryProcess.h"
+#include "settings/Load.h"
+
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <iostream>
+
+DEFINE_string(settings, "", "YAML file with the settings of this process");
+DEFINE_bool(check, false, "check the settings and exit");
+
+int main(int ArgumentCount, char **Arguments) {
+  gflags::SetUsageMessage("psp-entry --settings=FILE [--check]");
+  gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(Arguments[0]);
+  try {
+    auto Settings = psp::settings::loadEntrySettings(FLAGS_settings);
+    if (FLAGS_check) {
+      std::cout << "settings are valid: " << FLAGS_settings << "\n";
+      return 0;
+    }
+    psp::net::StopSignals Signals;
+    psp::entry::EntryProcess Process(std::move(Settings));
+    Signals.watch([&Process] { Process.stop(); },
+                  [&Process] { Process.writeDump(); });
+    Process.run();
+  } catch (const psp::base::UserError &Fault) {
+    std::cerr << "psp-entry: " << Fault.what() << "\n";
+    return 1;
+  } catch (const std::exception &Fault) {
+    LOG(ERROR) << "entry: internal error: " << Fault.what();
+    return 2;
+  }
+  return 0;
+}
