--- a/src/program/Ballot.h
+++ b/src/program/Ballot.h
@@ -13,6 +13,9 @@
 
 namespace psp::program {
 
+/// The round of a program's creation; every later owner goes higher.
+inline constexpr std::uint64_t CreationRound = 1;
+
 /// Compares by round, then by instance, then by nonce.
 std::strong_ordering compareBallots(const messages::Ballot &Left,
                                     const messages::Ballot &Right);
--- /dev/null
+++ b/src/program/ProgramCalls.h
@@ -0,0 +1,91 @@
+/// \file
+/// What goes into and comes out of the table of programs: calls and events.
+
+#ifndef PSP_PROGRAM_PROGRAMCALLS_H
+#define PSP_PROGRAM_PROGRAMCALLS_H
+
+#include "base/Ids.h"
+#include "base/Time.h"
+#include "generated/program.pb.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace psp::program {
+
+/// Chosen by the entry instance's shell; unique within the process.
+using CallNumber = std::uint64_t;
+
+/// The limits of one program. They are recorded at its creation. Zero turns,
+/// history tokens or lifetime mean no limit; a budget of zero allows no tokens.
+struct ProgramLimits {
+  std::uint64_t m_BudgetTokens = 0;
+  std::uint32_t m_MaxTurns = 0;
+  std::uint64_t m_MaxHistoryTokens = 0;
+  base::Duration m_MaxLifetime{};
+
+  bool operator==(const ProgramLimits &) const = default;
+};
+
+/// One call as it arrived at the owner.
+struct SubmittedCall {
+  CallNumber m_Call = 0;
+  base::OrganisationId m_Organisation{};
+  base::KeyId m_Key{};
+  messages::CallRequest m_Request{};
+  bool m_Repeatable = true;
+  bool m_CarriesHistory = false; ///< Model calls.
+  ProgramLimits m_Limits{};
+};
+
+/// The start is committed: the call may be queued for dispatch.
+struct CallReady {
+  CallNumber m_Call = 0;
+  std::string m_Body{}; ///< To be sent: with the conversation so far.
+  std::uint64_t m_PromptTokens = 0; ///< Estimated from m_Body.
+};
+
+/// The claim is committed: the call may be sent now, once.
+struct CallClaimed {
+  CallNumber m_Call = 0;
+};
+
+/// The end of a call. A refusal can come at any time before the call was sent;
+/// the call must then not be sent any more.
+struct CallDone {
+  CallNumber m_Call = 0;
+  messages::CallOutcome m_Outcome{};
+  std::string m_Answer{};
+  bool m_FromRecord = false; ///< Another attempt's result.
+};
+
+/// The program is gone: its endpoints must free what they hold for it. Sent
+/// again after a takeover until memoryFreed() is recorded.
+struct MemoryReleased {
+  base::ProgramId m_Program{};
+  std::vector<base::EndpointId> m_Endpoints{}; ///< Known to have run its calls.
+  /// A call may have run at another endpoint, too: an owner died before it
+  /// could record where.
+  bool m_MayBeElsewhere = false;
+};
+
+using ProgramEvent =
+    std::variant<CallReady, CallClaimed, CallDone, MemoryReleased>;
+
+/// A non-repeatable call that was sent and whose outcome nobody knows.
+struct UnknownOutcome {
+  base::ProgramId m_Program{};
+  base::OrganisationId m_Organisation{};
+  std::uint64_t m_Turn = 0;
+  std::string m_Service{};
+  base::EndpointId m_Endpoint{};
+  std::string m_IdempotencyKey{};
+
+  bool operator==(const UnknownOutcome &) const = default;
+};
+
+} // namespace psp::program
+
+#endif
--- /dev/null
+++ b/src/program/ProgramIds.h
@@ -0,0 +1,33 @@
+/// \file
+/// Identifiers of programs. An identifier names the home data centre, so any
+/// instance knows where to send a call, and a data centre that is cut off can
+/// make new ones without asking.
+
+#ifndef PSP_PROGRAM_PROGRAMIDS_H
+#define PSP_PROGRAM_PROGRAMIDS_H
+
+#include "base/Ids.h"
+
+#include <cstddef>
+#include <string_view>
+
+namespace psp::program {
+
+/// Random bytes in an identifier.
+inline constexpr std::size_t ProgramIdBytes = 16;
+
+/// Example: makeProgramId(DataCentreId("brum-a"), randomBytes(16)) is
+/// "brum-a.000102030405060708090a0b0c0d0e0f". Safe in URLs and headers.
+///
+/// The bytes must be fresh and random. Program creation relies on it: two
+/// creations under one identifier are not told apart from one after a ledger
+/// has lost its disk.
+base::ProgramId makeProgramId(const base::DataCentreId &Home,
+                              std::string_view RandomBytes);
+
+/// The home data centre, or an empty one when \p Program is malformed.
+base::DataCentreId homeOf(const base::ProgramId &Program);
+
+} // namespace psp::program
+
+#endif
--- a/src/program/ProgramOwner.cpp
+++ b/src/program/ProgramOwner.cpp
@@ -13,9 +13,6 @@
 /// Longest run of entries in one append, well below the frame's limit.
 constexpr std::size_t MaxAppendBytes = 4U << 20U;
 
-/// The round of a program's creation; every later owner goes higher.
-constexpr std::uint64_t CreationRound = 1;
-
 /// Spreads the retries of owners that race each other.
 constexpr std::uint64_t MaxBackoffIntervals = 8;
 
@@ -269,8 +266,13 @@
     View.m_Evicted = true;
     return;
   }
-  if (compareBallots(Reply.promised_ballot(), m_Ballot) ==
-      std::strong_ordering::greater) {
+  const bool IsFenced = compareBallots(Reply.promised_ballot(), m_Ballot) ==
+                        std::strong_ordering::greater;
+  const bool IsSecondCreation =
+      m_Ballot.round() == CreationRound && !Reply.accepted() &&
+      Reply.promised_ballot().round() > 0 &&
+      !isSameBallot(Reply.promised_ballot(), m_Ballot);
+  if (IsFenced || IsSecondCreation) {
     m_Phase = OwnerPhase::Fenced;
     return;
   }
--- a/src/program/ProgramOwner.h
+++ b/src/program/ProgramOwner.h
@@ -35,8 +35,8 @@
 using LedgerDisks = std::map<base::InstanceId, std::string>;
 
 struct OwnerOptions {
-  base::InstanceId m_Self;
-  std::vector<base::InstanceId> m_Ledgers;
+  base::InstanceId m_Self{};
+  std::vector<base::InstanceId> m_Ledgers{};
   base::Duration m_RetransmitInterval{};
   std::uint64_t m_Nonce = 0; ///< Differs between any two owners ever made.
 };
@@ -105,7 +105,7 @@
     std::uint64_t m_Next = 1;  ///< Sent up to here, exclusive.
     std::uint64_t m_ToldCommit = 0;
     bool m_Evicted = false;
-    base::TimePoint m_LastSent;
+    base::TimePoint m_LastSent{};
   };
 
   /// The answers to the present open.
--- a/src/program/ProgramReplica.cpp
+++ b/src/program/ProgramReplica.cpp
@@ -179,6 +179,10 @@
   const auto Order = compareBallots(Append.ballot(), Held.m_Promised);
   if (Order == std::strong_ordering::less || Held.m_Evicted)
     return false;
+  // A creation was not opened, so only the first one may pass.
+  if (Append.ballot().round() == CreationRound &&
+      Order != std::strong_ordering::equal && Held.m_Promised.round() > 0)
+    return false;
   if (!hasPrevious(Append, Held)) {
     Reply.set_last_hint(
         std::min(Held.lastIndex(), Append.previous_index() - 1));
--- a/tests/program.cmake
+++ b/tests/program.cmake
@@ -1,1 +1,2 @@
 psp_test(program_replication correctness/ProgramReplicationTest.cpp USES psp_program)
+psp_test(program_table correctness/ProgramTableTest.cpp USES psp_program)
