Limit rates over the whole fleet by leased limiters with loans

Each data centre holds a slice of an organisation's rate and burst. Per shard one entry instance holds the slice under a diskless majority lease, grants tokens that must be used within a hold time, and borrows from the other data centres' limiters.

Ruled out: counting every grant for the whole hold time. A slice whose burst is below rate times hold time would then be throttled; receivers report use, and the limiter stops counting what is settled. Loans are taken into the borrower's own slice as far as it has room, so that the lender may stop counting them too.

--- /dev/null
+++ b/src/limits/Fleet.cpp
@@ -0,0 +1,104 @@
+#include "limits/Fleet.h"
+
+#include "base/Error.h"
+#include "base/Placement.h"
+
+#include <algorithm>
+
+namespace psp::limits {
+namespace {
+
+std::vector<base::DataCentreId>
+dataCentresOf(const std::vector<Member> &Members) {
+  std::set<base::DataCentreId> Names;
+  for (const Member &Each : Members)
+    if (Each.m_IsEntry)
+      Names.insert(Each.m_DataCentre);
+  return {Names.begin(), Names.end()};
+}
+
+/// Ledgers first, since they are restarted less often, then by name.
+std::vector<base::InstanceId> votersOf(const LimitOptions &Options) {
+  std::vector<Member> Local;
+  for (const Member &Each : Options.m_Members)
+    if (Each.m_DataCentre == Options.m_DataCentre)
+      Local.push_back(Each);
+  std::sort(Local.begin(), Local.end(), [](const Member &A, const Member &B) {
+    if (A.m_IsEntry != B.m_IsEntry)
+      return B.m_IsEntry;
+    return A.m_Instance < B.m_Instance;
+  });
+  if (Local.size() > Options.m_MaxVoters)
+    Local.resize(Options.m_MaxVoters);
+  std::vector<base::InstanceId> Voters;
+  Voters.reserve(Local.size());
+  for (const Member &Each : Local)
+    Voters.push_back(Each.m_Instance);
+  return Voters;
+}
+
+} // namespace
+
+Fleet::Fleet(const LimitOptions &Options)
+    : m_Self(Options.m_Self), m_Shards(Options.m_Shards),
+      m_Members(Options.m_Members),
+      m_DataCentres(dataCentresOf(Options.m_Members)),
+      m_Voters(votersOf(Options)) {
+  const auto Own = std::lower_bound(m_DataCentres.begin(), m_DataCentres.end(),
+                                    Options.m_DataCentre);
+  m_OwnPosition = static_cast<std::size_t>(Own - m_DataCentres.begin());
+  base::checkInvariant(!Options.m_IsEntry || (Own != m_DataCentres.end() &&
+                                              *Own == Options.m_DataCentre),
+                       "expected an entry instance among the members of its "
+                       "own data centre");
+  rankCandidates();
+}
+
+void Fleet::setReachable(const std::vector<base::InstanceId> &Live) {
+  std::set<base::InstanceId> Next(Live.begin(), Live.end());
+  if (!m_AllLive && Next == m_Live)
+    return;
+  m_AllLive = false;
+  m_Live = std::move(Next);
+  rankCandidates();
+}
+
+bool Fleet::isLive(const base::InstanceId &Instance) const {
+  return m_AllLive || Instance == m_Self || m_Live.contains(Instance);
+}
+
+void Fleet::rankCandidates() {
+  m_Candidates.clear();
+  for (const base::DataCentreId &DataCentre : m_DataCentres) {
+    std::vector<base::InstanceId> Live;
+    for (const Member &Each : m_Members)
+      if (Each.m_IsEntry && Each.m_DataCentre == DataCentre &&
+          isLive(Each.m_Instance))
+        Live.push_back(Each.m_Instance);
+    auto &ByShard = m_Candidates[DataCentre];
+    for (std::uint32_t Shard = 0; Shard < m_Shards; ++Shard)
+      ByShard.push_back(
+          base::rankInstances("limiter-" + std::to_string(Shard), Live));
+  }
+}
+
+std::optional<std::size_t>
+Fleet::positionOf(const base::InstanceId &Instance) const {
+  for (const Member &Each : m_Members) {
+    if (Each.m_Instance != Instance)
+      continue;
+    const auto Found = std::find(m_DataCentres.begin(), m_DataCentres.end(),
+                                 Each.m_DataCentre);
+    if (Found != m_DataCentres.end())
+      return static_cast<std::size_t>(Found - m_DataCentres.begin());
+  }
+  return std::nullopt;
+}
+
+const std::vector<base::InstanceId> &
+Fleet::candidates(const base::DataCentreId &DataCentre,
+                  std::uint32_t Shard) const {
+  return m_Candidates.at(DataCentre).at(Shard);
+}
+
+} // namespace psp::limits
--- /dev/null
+++ b/src/limits/Fleet.h
@@ -0,0 +1,64 @@
+/// \file
+/// Who belongs to which data centre and who can be reached: the members from
+/// the settings, and the live ones from the heartbeats.
+
+#ifndef PSP_LIMITS_FLEET_H
+#define PSP_LIMITS_FLEET_H
+
+#include "limits/LimitOptions.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace psp::limits {
+
+class Fleet {
+public:
+  explicit Fleet(const LimitOptions &Options);
+
+  /// Replaces the set of live peers. Before the first call all are live.
+  void setReachable(const std::vector<base::InstanceId> &Live);
+
+  /// The data centres that have entry instances, sorted. Only these have a
+  /// slice of the rates.
+  const std::vector<base::DataCentreId> &dataCentres() const {
+    return m_DataCentres;
+  }
+
+  /// The position of the own data centre among dataCentres().
+  std::size_t ownPosition() const { return m_OwnPosition; }
+
+  /// The voters on the leases of the own data centre. All its processes agree
+  /// on them, since they follow from the settings alone.
+  const std::vector<base::InstanceId> &voters() const { return m_Voters; }
+
+  /// The position of \p Instance's data centre among dataCentres(), if any.
+  std::optional<std::size_t> positionOf(const base::InstanceId &Instance) const;
+
+  /// The live entry instances of \p DataCentre in the order in which they
+  /// should hold the limiter of \p Shard.
+  const std::vector<base::InstanceId> &
+  candidates(const base::DataCentreId &DataCentre, std::uint32_t Shard) const;
+
+private:
+  bool isLive(const base::InstanceId &Instance) const;
+  void rankCandidates();
+
+  base::InstanceId m_Self;
+  std::uint32_t m_Shards;
+  std::vector<Member> m_Members;
+  std::vector<base::DataCentreId> m_DataCentres;
+  std::size_t m_OwnPosition = 0;
+  std::vector<base::InstanceId> m_Voters;
+  bool m_AllLive = true;
+  std::set<base::InstanceId> m_Live;
+  std::map<base::DataCentreId, std::vector<std::vector<base::InstanceId>>>
+      m_Candidates; ///< By data centre and shard.
+};
+
+} // namespace psp::limits
+
+#endif
--- /dev/null
+++ b/src/limits/Limiter.cpp
@@ -0,0 +1,450 @@
+#include "limits/Limiter.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace psp::limits {
+namespace {
+
+/// An ask for a loan is given up after this many ask timeouts.
+constexpr int LoanTimeouts = 2;
+
+constexpr base::Duration ShortestRetryAfter = base::milliseconds(1);
+
+std::uint64_t microseconds(base::Duration Length) {
+  return static_cast<std::uint64_t>(Length.count());
+}
+
+/// How many tokens accrue to \p Of within \p Length, with what it has.
+std::uint32_t tokensWithin(const Account &Of, base::Duration Length) {
+  const MicroTokens Available = Of.available();
+  const Slice &Share = Of.m_Bucket.slice();
+  const MicroTokens Loans = Available - Of.m_Bucket.level();
+  if (Share.m_Burst + Loans < OneToken)
+    return 0;
+  const double Accrued = std::chrono::duration<double>(Length).count() *
+                         static_cast<double>(Share.m_RatePerSecond);
+  return static_cast<std::uint32_t>(
+      (static_cast<double>(Available) + std::max(0.0, Accrued)) / OneToken);
+}
+
+} // namespace
+
+IdSource::IdSource(const base::InstanceId &Self, std::uint64_t Incarnation)
+    : m_Last(base::stableHash(Self.str() + "/" + std::to_string(Incarnation))) {
+}
+
+Limiter::Limiter(LimiterContext Context, std::uint32_t Shard,
+                 base::TimePoint Start)
+    : m_Context(Context), m_Shard(Shard), m_Start(Start), m_LeaseEnd(Start),
+      m_Grants(OneToken, Context.m_Options.m_HoldTime),
+      m_Loans(1, Context.m_Options.m_HoldTime) {}
+
+Account *Limiter::account(const base::OrganisationId &Organisation,
+                          base::TimePoint Now) {
+  auto Found = m_Accounts.find(Organisation);
+  if (Found == m_Accounts.end()) {
+    const Slice *Share = m_Context.m_Rates.find(Organisation);
+    if (Share == nullptr)
+      return nullptr;
+    Found = m_Accounts
+                .emplace(Organisation,
+                         Account{.m_Organisation = Organisation,
+                                 .m_Bucket = TokenBucket(*Share, m_Start),
+                                 .m_Waiters = {},
+                                 .m_Borrowing = nullptr})
+                .first;
+  }
+  Found->second.m_Bucket.accrue(Now);
+  return &Found->second;
+}
+
+bool Limiter::tryUse(const base::OrganisationId &Organisation,
+                     base::TimePoint Now) {
+  if (Now >= m_LeaseEnd)
+    return false;
+  Account *Of = account(Organisation, Now);
+  if (Of == nullptr || !Of->m_Waiters.empty() ||
+      Of->m_Bucket.level() < OneToken)
+    return false;
+  Of->m_Bucket.use(OneToken, Now);
+  ++m_Context.m_Counters.m_Granted;
+  return true;
+}
+
+void Limiter::onAsk(const base::InstanceId &From, const messages::TokenAsk &Ask,
+                    base::TimePoint Now) {
+  for (const messages::UsageReport &Each : Ask.reports())
+    onReport(Each, Now);
+  const base::Duration Wait =
+      std::min(m_Context.m_Options.m_LoanWait,
+               base::Duration(static_cast<std::int64_t>(Ask.wait_us())));
+  Waiter Asker = {.m_Asker = From,
+                  .m_Request = Ask.request(),
+                  .m_Sequence = 0,
+                  .m_Count = Ask.needed(),
+                  .m_Received = Now,
+                  .m_GiveUpAt = Now + Wait};
+  Account *Of = account(base::OrganisationId(Ask.organisation()), Now);
+  if (Of == nullptr) {
+    messages::TokenReply Reply;
+    Reply.set_request(Ask.request());
+    Reply.set_organisation(Ask.organisation());
+    Reply.set_refused(Ask.needed());
+    Reply.set_retry_after_us(microseconds(base::Duration(base::seconds(1))));
+    m_Replies.push_back({.m_To = From, .m_Reply = std::move(Reply)});
+    return;
+  }
+  const Slice &Share = Of->m_Bucket.slice();
+  const MicroTokens Level = Of->m_Bucket.level();
+  const MicroTokens Needed = OneToken * Asker.m_Count;
+  if (Of->m_Waiters.empty() && Level >= Needed) {
+    const MicroTokens Plenty = Level - Needed - Share.m_Burst / 2;
+    const std::uint32_t Extra =
+        Plenty <= 0 ? 0
+                    : std::min(Ask.extra(),
+                               static_cast<std::uint32_t>(Plenty / OneToken));
+    Asker.m_Count += Extra;
+    grant(*Of, Asker, Asker.m_Count, Now);
+    return;
+  }
+  const std::uint32_t Room =
+      m_Context.m_Options.m_MaxWaiting -
+      std::min(Of->m_Waiting, m_Context.m_Options.m_MaxWaiting);
+  if (Asker.m_Count > Room)
+    refuse(*Of, Asker, Asker.m_Count - Room);
+  if (Asker.m_Count == 0)
+    return;
+  const std::size_t Before = m_Replies.size();
+  Of->m_Waiting += Asker.m_Count;
+  Of->m_Waiters.push_back(Asker);
+  serve(*Of, Now);
+  if (Of->m_Waiters.empty() || Of->m_Waiters.back().m_Request != Ask.request())
+    return;
+  Waiter &Queued = Of->m_Waiters.back();
+  if (m_Replies.size() > Before && m_Replies.back().m_To == From &&
+      m_Replies.back().m_Reply.request() == Ask.request())
+    m_Replies.back().m_Reply.set_queued(Queued.m_Count);
+  else
+    reply(*Of, Queued).set_queued(Queued.m_Count);
+}
+
+messages::TokenReply &Limiter::reply(const Account &Of, Waiter &To) {
+  messages::TokenReply Reply;
+  Reply.set_request(To.m_Request);
+  Reply.set_sequence(To.m_Sequence++);
+  Reply.set_organisation(Of.m_Organisation.str());
+  m_Replies.push_back({.m_To = To.m_Asker, .m_Reply = std::move(Reply)});
+  return m_Replies.back().m_Reply;
+}
+
+std::uint32_t Limiter::grant(Account &Of, Waiter &To, std::uint32_t Count,
+                             base::TimePoint Now) {
+  base::Duration Valid = m_Context.m_Options.m_HoldTime;
+  MicroTokens Missing = OneToken * Count;
+  if (Of.m_Borrowing) {
+    for (Loan &Each : Of.m_Borrowing->m_Pool) {
+      const MicroTokens Part = std::min(Missing, Each.m_Left);
+      if (Part == 0)
+        continue;
+      Missing -= Part;
+      Each.m_Left -= Part;
+      Valid = std::min(Valid, Each.m_Deadline - To.m_Received);
+      // A request of this process uses its token now. Someone else may use
+      // it until the loan runs out, so the lender has to count it till then.
+      if (To.m_Asker == m_Context.m_Options.m_Self)
+        Each.m_Used += Part;
+    }
+  }
+  const std::uint64_t Id = m_Context.m_Ids.next();
+  if (Missing > 0) {
+    Of.m_Bucket.hold(Missing, Now);
+    m_Grants.add(Id, Of.m_Bucket, Missing, Now);
+  }
+  messages::TokenReply &Reply = reply(Of, To);
+  Reply.set_grant(Id);
+  Reply.set_granted(Count);
+  Reply.set_valid_us(microseconds(Valid));
+  To.m_Count -= Count;
+  m_Context.m_Counters.m_Granted += Count;
+  return Count;
+}
+
+void Limiter::refuse(Account &Of, Waiter &From, std::uint32_t Count) {
+  const MicroTokens Wanted =
+      OneToken * (static_cast<MicroTokens>(Of.m_Waiting) + 1);
+  messages::TokenReply &Reply = reply(Of, From);
+  Reply.set_refused(Count);
+  Reply.set_retry_after_us(microseconds(
+      std::max(ShortestRetryAfter, Of.m_Bucket.timeUntil(Wanted))));
+  From.m_Count -= Count;
+}
+
+void Limiter::serve(Account &Of, base::TimePoint Now) {
+  Of.m_Bucket.accrue(Now);
+  expireBorrowing(Of, Now);
+  if (canGive(Now)) {
+    grantWaiting(Of, Now);
+    if (!Of.m_Waiters.empty())
+      borrow(Of, Now);
+  }
+  refuseHopeless(Of, Now);
+  if (Of.m_Waiters.empty())
+    settlePool(Of, Now);
+}
+
+void Limiter::grantWaiting(Account &Of, base::TimePoint Now) {
+  while (!Of.m_Waiters.empty()) {
+    const auto Whole = static_cast<std::uint32_t>(Of.available() / OneToken);
+    if (Whole == 0)
+      return;
+    Waiter &First = Of.m_Waiters.front();
+    Of.m_Waiting -= grant(Of, First, std::min(First.m_Count, Whole), Now);
+    if (First.m_Count == 0)
+      Of.m_Waiters.erase(Of.m_Waiters.begin());
+  }
+}
+
+void Limiter::borrow(Account &Of, base::TimePoint Now) {
+  const LimitOptions &Options = m_Context.m_Options;
+  if (m_Context.m_DataCentres < 2)
+    return;
+  if (!Of.m_Borrowing)
+    Of.m_Borrowing = std::make_unique<Borrowing>(Borrowing{
+        .m_Lenders = Lenders(m_Context.m_DataCentres, m_Context.m_OwnPosition,
+                             {.m_First = Options.m_BorrowBackOff,
+                              .m_Longest = Options.m_MaxBorrowBackOff},
+                             Now),
+        .m_Open = std::nullopt,
+        .m_Requests = {},
+        .m_Pool = {}});
+  Borrowing &Current = *Of.m_Borrowing;
+  if (Current.m_Open)
+    return;
+  const MicroTokens Available = Of.available();
+  const auto Lender =
+      Current.m_Lenders.choose(OneToken - Available, Of.m_Bucket.slice(), Now);
+  if (!Lender)
+    return;
+  const MicroTokens Missing = OneToken * Of.m_Waiting - Available;
+  messages::LoanAsk Ask;
+  Ask.set_request(m_Context.m_Ids.next());
+  Ask.set_shard(m_Shard);
+  Ask.set_data_centre(Options.m_DataCentre.str());
+  Ask.set_organisation(Of.m_Organisation.str());
+  Ask.set_needed(static_cast<std::uint64_t>(Missing));
+  Ask.set_extra(static_cast<std::uint64_t>(Missing));
+  Current.m_Open = Ask.request();
+  Current.m_Requests.push_back(
+      {.m_Request = Ask.request(), .m_Lender = *Lender, .m_AskedAt = Now});
+  ++m_Context.m_Counters.m_BorrowAsks;
+  m_LoanAsks.push_back({.m_DataCentre = *Lender, .m_Ask = std::move(Ask)});
+}
+
+void Limiter::refuseHopeless(Account &Of, base::TimePoint Now) {
+  const bool LoanPending =
+      Of.m_Borrowing &&
+      (Of.m_Borrowing->m_Open ||
+       Of.m_Borrowing->m_Lenders.mayHelpLater(OneToken - Of.available(),
+                                              Of.m_Bucket.slice(), Now));
+  std::uint32_t Ahead = 0;
+  std::vector<Waiter> Kept;
+  Kept.reserve(Of.m_Waiters.size());
+  for (Waiter &Each : Of.m_Waiters) {
+    const std::uint32_t Count = Each.m_Count;
+    std::uint32_t Hope = Count;
+    if (Now >= Each.m_GiveUpAt) {
+      Hope = 0;
+    } else if (!LoanPending) {
+      const std::uint32_t Served = tokensWithin(Of, Each.m_GiveUpAt - Now);
+      Hope = std::min(Count, Served - std::min(Served, Ahead));
+    }
+    if (Hope < Count)
+      refuse(Of, Each, Count - Hope);
+    Ahead += Hope;
+    if (Hope > 0)
+      Kept.push_back(Each);
+  }
+  Of.m_Waiters = std::move(Kept);
+  Of.m_Waiting = Ahead;
+}
+
+void Limiter::addLoanReport(const Account &Of, const Loan &From) {
+  messages::UsageReport Report;
+  Report.set_organisation(Of.m_Organisation.str());
+  Report.set_grant(From.m_Id);
+  Report.set_used(static_cast<std::uint64_t>(From.m_Used));
+  Report.set_returned(static_cast<std::uint64_t>(From.m_Returned));
+  m_LoanReports.push_back(
+      {.m_To = From.m_Lender, .m_Report = std::move(Report)});
+}
+
+void Limiter::settlePool(Account &Of, base::TimePoint Now) {
+  if (!Of.m_Borrowing)
+    return;
+  for (Loan &Each : Of.m_Borrowing->m_Pool) {
+    if (Now < Each.m_Deadline) {
+      const MicroTokens Taken = Of.m_Bucket.absorb(Each.m_Left, Now);
+      Each.m_Used += Taken;
+      Each.m_Returned += Each.m_Left - Taken;
+    }
+    Each.m_Left = 0;
+    addLoanReport(Of, Each);
+  }
+  Of.m_Borrowing->m_Pool.clear();
+}
+
+void Limiter::expireBorrowing(Account &Of, base::TimePoint Now) {
+  if (!Of.m_Borrowing)
+    return;
+  Borrowing &Current = *Of.m_Borrowing;
+  const LimitOptions &Options = m_Context.m_Options;
+  std::erase_if(Current.m_Requests, [&](const LoanRequest &Each) {
+    const bool Silent =
+        Now >= Each.m_AskedAt + LoanTimeouts * Options.m_AskTimeout;
+    if (Silent && Current.m_Open == Each.m_Request) {
+      Current.m_Open.reset();
+      Current.m_Lenders.onFailure(Each.m_Lender, Now);
+    }
+    return Now >= Each.m_AskedAt + Options.m_HoldTime;
+  });
+  std::erase_if(Current.m_Pool, [&](const Loan &Each) {
+    if (Now < Each.m_Deadline && Each.m_Left > 0)
+      return false;
+    if (Each.m_Used > 0)
+      addLoanReport(Of, Each);
+    return true;
+  });
+}
+
+void Limiter::onReport(const messages::UsageReport &Report,
+                       base::TimePoint Now) {
+  applySettlement(m_Grants.report(Report), Now);
+}
+
+void Limiter::onLoanReport(const messages::UsageReport &Report,
+                           base::TimePoint Now) {
+  applySettlement(m_Loans.report(Report), Now);
+}
+
+messages::LoanReply Limiter::onLoanAsk(const messages::LoanAsk &Ask,
+                                       base::TimePoint Now) {
+  for (const messages::UsageReport &Each : Ask.reports())
+    onLoanReport(Each, Now);
+  messages::LoanReply Reply;
+  Reply.set_request(Ask.request());
+  Reply.set_shard(m_Shard);
+  Reply.set_data_centre(m_Context.m_Options.m_DataCentre.str());
+  Reply.set_organisation(Ask.organisation());
+  Account *Of = account(base::OrganisationId(Ask.organisation()), Now);
+  if (Of == nullptr || !canGive(Now))
+    return Reply;
+  // Of two data centres that both lack a part of a token, the one that comes
+  // first gets it, so that they don't wait for each other.
+  if (!Of->m_Waiters.empty() &&
+      Ask.data_centre() >= m_Context.m_Options.m_DataCentre.str())
+    return Reply;
+  const MicroTokens Level = Of->m_Bucket.level();
+  const MicroTokens Needed =
+      std::min(Level, static_cast<MicroTokens>(Ask.needed()));
+  const MicroTokens Extra =
+      std::min((Level - Needed) / 2, static_cast<MicroTokens>(Ask.extra()));
+  const MicroTokens Lent = Needed + Extra;
+  if (Lent <= 0)
+    return Reply;
+  Of->m_Bucket.hold(Lent, Now);
+  Reply.set_loan(m_Context.m_Ids.next());
+  Reply.set_lent(static_cast<std::uint64_t>(Lent));
+  Reply.set_level(static_cast<std::uint64_t>(Level - Lent));
+  m_Loans.add(Reply.loan(), Of->m_Bucket, Lent, Now);
+  m_Context.m_Counters.m_LentMicro += Lent;
+  return Reply;
+}
+
+void Limiter::onLoanReply(const base::InstanceId &From,
+                          const messages::LoanReply &Reply, std::size_t Lender,
+                          base::TimePoint Now) {
+  Account *Of = account(base::OrganisationId(Reply.organisation()), Now);
+  if (Of == nullptr || !Of->m_Borrowing)
+    return;
+  Borrowing &Current = *Of->m_Borrowing;
+  const auto Asked = std::find_if(
+      Current.m_Requests.begin(), Current.m_Requests.end(),
+      [&](const LoanRequest &Each) {
+        return Each.m_Request == Reply.request() && Each.m_Lender == Lender;
+      });
+  if (Asked == Current.m_Requests.end())
+    return;
+  const LimitOptions &Options = m_Context.m_Options;
+  const base::TimePoint Deadline =
+      Asked->m_AskedAt + shortened(Options.m_HoldTime, Options.m_ClockDrift);
+  if (Current.m_Open == Reply.request())
+    Current.m_Open.reset();
+  Current.m_Requests.erase(Asked);
+  const auto Lent = static_cast<MicroTokens>(Reply.lent());
+  if (Reply.not_holder())
+    Current.m_Lenders.onNotHolder(Lender, Now);
+  else
+    Current.m_Lenders.onReply(Lender, Lent,
+                              static_cast<MicroTokens>(Reply.level()), Now);
+  if (Lent > 0 && Now < Deadline) {
+    m_Context.m_Counters.m_BorrowedMicro += Lent;
+    const MicroTokens Taken = Of->m_Bucket.absorb(Lent, Now);
+    Current.m_Pool.push_back({.m_Lender = From,
+                              .m_Id = Reply.loan(),
+                              .m_Left = Lent - Taken,
+                              .m_Used = Taken,
+                              .m_Returned = 0,
+                              .m_Deadline = Deadline});
+  }
+  serve(*Of, Now);
+}
+
+void Limiter::dismissWaiters() {
+  for (auto &[Organisation, Of] : m_Accounts) {
+    for (Waiter &Each : Of.m_Waiters)
+      reply(Of, Each).set_not_holder(true);
+    Of.m_Waiters.clear();
+    Of.m_Waiting = 0;
+  }
+}
+
+void Limiter::onRatesChanged(base::TimePoint Now) {
+  for (auto &[Organisation, Of] : m_Accounts) {
+    const Slice *Share = m_Context.m_Rates.find(Organisation);
+    Of.m_Bucket.setSlice(Share == nullptr ? Slice{} : *Share, Now);
+  }
+}
+
+void Limiter::onTick(base::TimePoint Now) {
+  for (const Settlement &Each : m_Grants.expire(Now))
+    applySettlement(Each, Now);
+  for (const Settlement &Each : m_Loans.expire(Now))
+    applySettlement(Each, Now);
+  for (auto &[Organisation, Of] : m_Accounts)
+    if (!Of.m_Waiters.empty() ||
+        (Of.m_Borrowing &&
+         (Of.m_Borrowing->m_Open || !Of.m_Borrowing->m_Pool.empty())))
+      serve(Of, Now);
+}
+
+std::vector<TokenReplyTo> Limiter::takeReplies() {
+  return std::exchange(m_Replies, {});
+}
+
+std::vector<LoanAskTo> Limiter::takeLoanAsks() {
+  return std::exchange(m_LoanAsks, {});
+}
+
+std::vector<LoanReportTo> Limiter::takeLoanReports() {
+  return std::exchange(m_LoanReports, {});
+}
+
+MicroTokens Limiter::level(const base::OrganisationId &Organisation) const {
+  const auto Found = m_Accounts.find(Organisation);
+  return Found == m_Accounts.end() ? 0 : Found->second.m_Bucket.level();
+}
+
+} // namespace psp::limits
