Add the scheduler: registry, windows, fair queue, routing, retries

Pure decisions for one entry instance, driven by events with the time. Between organisations the queue serves the smallest counter of charged work: the charge is corrected once the real work is known, and skipping the rounds that deficit round robin would need to pay off a debt comes to the same order at the cost of one ordered set.

Ruled out: one queue for all services (a call for a full service would block the others), a static share of each endpoint's slots (idle shares would be lost; free slots by the last report are divided on top of it).

--- /dev/null
+++ b/tests/schedule.cmake
@@ -0,0 +1,6 @@
+psp_test(schedule_registry correctness/EndpointRegistryTest.cpp USES psp_schedule)
+psp_test(schedule_queue correctness/FairQueueTest.cpp USES psp_schedule)
+psp_test(schedule_scheduler correctness/SchedulerTest.cpp USES psp_schedule)
+psp_test(schedule_faults error/SchedulerFaultTest.cpp USES psp_schedule)
+psp_test(schedule_random error/SchedulerRandomTest.cpp USES psp_schedule)
+psp_test(bench_engine correctness/BatchEngineTest.cpp USES psp_bench)
