Entry and ledger processes: a request runs end to end

Found and mended on the way: a caller's session was held by nothing while its request was under way, so the connection closed without an answer; sessions are now kept by the server until the answer is written.

--- a/src/entry/EntryCore.cpp
+++ b/src/entry/EntryCore.cpp
@@ -31,7 +31,7 @@
 constexpr Duration QuorumTimeout = base::milliseconds(1500);
 constexpr Duration RetransmitInterval = base::milliseconds(100);
 constexpr double RetryShare = 0.1;
-constexpr std::size_t RandomProgramBytes = 12;
+constexpr std::size_t RandomProgramBytes = 16;
 
 std::vector<InstanceId> ledgers(const settings::ProcessSettings &Process,
                                 bool LocalOnly) {
@@ -304,7 +304,11 @@
 }
 
 void EntryCore::onPeer(const Envelope &Message, Now Time) {
-  dispatchBody(InstanceId(Message.sender()), Message, Time);
+  try {
+    dispatchBody(InstanceId(Message.sender()), Message, Time);
+  } catch (const UserError &) {
+    ++m_MalformedMessages; // The part that threw has changed nothing.
+  }
   settle(Time);
 }
 
--- a/src/entry/EntryCore.h
+++ b/src/entry/EntryCore.h
@@ -122,6 +122,7 @@
   std::uint64_t m_NextTicket = 1;
   std::uint64_t m_NextProgram = 1;
   std::uint64_t m_LearnedIndex = 0;
+  std::uint64_t m_MalformedMessages = 0;
   bool m_Draining = false;
 };
 
--- a/src/entry/EntryReport.cpp
+++ b/src/entry/EntryReport.cpp
@@ -75,6 +75,7 @@
 std::string EntryCore::dump(base::Now Time) const {
   json Dump = json::parse(status(Time));
   Dump["waiting_for_rate"] = m_Admissions.size();
+  Dump["malformed_messages"] = m_MalformedMessages;
   Dump["owned_calls"] = reportCalls(m_Owned);
   return Dump.dump();
 }
@@ -97,4 +98,24 @@
          counter("psp_recomputed_tokens_total", Owned.m_RecomputedTokens);
 }
 
+std::vector<messages::EndpointState>
+EntryCore::endpointStates(base::Now Time) const {
+  std::vector<messages::EndpointState> States;
+  for (const auto &Known :
+       m_Queue.endpoints().usableEndpoints(Time.m_Monotonic)) {
+    messages::EndpointState State;
+    State.set_endpoint(Known.m_Id.str());
+    State.set_data_centre(Known.m_DataCentre.str());
+    State.set_address(Known.m_Address);
+    for (const std::string &Service : Known.m_Services)
+      State.add_services(Service);
+    State.set_slots(Known.m_Slots);
+    State.set_running(Known.m_Running);
+    State.set_waiting(Known.m_Waiting);
+    State.set_checks_fencing(Known.m_ChecksFencing);
+    States.push_back(std::move(State));
+  }
+  return States;
+}
+
 } // namespace psp::entry
--- a/src/entry/MemoryReleases.cpp
+++ b/src/entry/MemoryReleases.cpp
@@ -34,17 +34,33 @@
     : m_Endpoints(Endpoints), m_NextExchange(NextExchange) {}
 
 void MemoryReleases::add(const base::ProgramId &Program,
-                         const base::EndpointId &Endpoint, TimePoint Now) {
-  send({.m_Program = Program, .m_Endpoint = Endpoint, .m_NextTry = Now});
+                         const std::vector<base::EndpointId> &Endpoints,
+                         TimePoint Now) {
+  if (m_Left.contains(Program))
+    return; // Its releases are under way.
+  // The one more stands for this command, so that the program isn't taken for
+  // free before all its releases were counted.
+  m_Left[Program] = Endpoints.size() + 1;
+  for (const base::EndpointId &Endpoint : Endpoints)
+    send({.m_Program = Program, .m_Endpoint = Endpoint, .m_NextTry = Now});
+  settleOne(Program);
+}
+
+void MemoryReleases::settleOne(const base::ProgramId &Program) {
+  const auto Found = m_Left.find(Program);
+  if (--Found->second > 0)
+    return;
+  m_Freed.push_back(Program);
+  m_Left.erase(Found);
 }
 
 void MemoryReleases::send(Release Next) {
   const auto *Endpoint = m_Endpoints.find(Next.m_Endpoint);
   if (Endpoint == nullptr)
-    return; // An endpoint that has gone holds no memory.
+    return settleOne(Next.m_Program); // One that has gone holds no memory.
   messages::StartExchange Start;
   Start.m_Exchange = m_NextExchange++;
-  Start.m_Address = Endpoint->address();
+  Start.m_Address = Endpoint->m_Address;
   Start.m_Target = "/v1/release";
   Start.m_Headers = {{"Content-Type", "application/json"}};
   // Identifiers of programs need no escape in JSON.
@@ -74,7 +90,7 @@
   Release Done = std::move(Found->second);
   m_Sent.erase(Found);
   if (Whole && Done.m_Status < FirstErrorStatus)
-    return;
+    return settleOne(Done.m_Program);
   Done.m_NextTry = Now + RetryPause;
   m_Waiting.push_back(std::move(Done));
 }
@@ -88,6 +104,10 @@
   }
 }
 
+std::vector<base::ProgramId> MemoryReleases::takeFreed() {
+  return std::exchange(m_Freed, {});
+}
+
 std::vector<messages::EndpointCommand> MemoryReleases::takeCommands() {
   return std::exchange(m_Commands, {});
 }
--- a/src/entry/MemoryReleases.h
+++ b/src/entry/MemoryReleases.h
@@ -21,12 +21,14 @@
   MemoryReleases(const schedule::EndpointRegistry &Endpoints,
                  messages::ExchangeNumber &NextExchange);
 
-  void add(const base::ProgramId &Program, const base::EndpointId &Endpoint,
-           base::TimePoint Now);
+  void add(const base::ProgramId &Program,
+           const std::vector<base::EndpointId> &Endpoints, base::TimePoint Now);
   /// Returns true when \p Event belongs to a release.
   bool onEvent(const messages::EndpointEvent &Event, base::TimePoint Now);
   void onTick(base::TimePoint Now);
   std::vector<messages::EndpointCommand> takeCommands();
+  /// Programs of which no endpoint holds anything any more.
+  std::vector<base::ProgramId> takeFreed();
 
   std::size_t waiting() const { return m_Waiting.size() + m_Sent.size(); }
 
@@ -39,11 +41,15 @@
   };
 
   void send(Release Next);
+  void settleOne(const base::ProgramId &Program);
   void settle(messages::ExchangeNumber Exchange, bool Whole,
               base::TimePoint Now);
 
   const schedule::EndpointRegistry &m_Endpoints;
   messages::ExchangeNumber &m_NextExchange;
+  /// Releases that are left, by program.
+  std::unordered_map<base::ProgramId, std::size_t> m_Left;
+  std::vector<base::ProgramId> m_Freed;
   std::vector<Release> m_Waiting;
   std::unordered_map<messages::ExchangeNumber, Release> m_Sent;
   std::vector<messages::EndpointCommand> m_Commands;
--- a/src/entry/OwnedCalls.cpp
+++ b/src/entry/OwnedCalls.cpp
@@ -104,8 +104,7 @@
                       Out);
     break;
   case ForwardCall::END:
-    m_Programs.end(Call.m_Number, Program, Organisation, "ended by the caller",
-                   Time, Out);
+    m_Programs.adopt(Program, Time, Out);
     break;
   default:
     m_Programs.submit({.m_Call = Call.m_Number,
@@ -156,11 +155,36 @@
   else if (const auto *Claimed = std::get_if<program::CallClaimed>(&Event))
     onClaimed(*Claimed, Time, Out);
   else if (const auto *Done = std::get_if<program::CallDone>(&Event))
-    onDone(*Done, Out);
+    onDone(*Done, Time, Out);
   else if (const auto *Released = std::get_if<program::MemoryReleased>(&Event))
     onReleased(*Released, Time);
 }
 
+/// A program can be ended once it is open here, because only then is it known
+/// whose it is.
+void OwnedCalls::tryEnd(OwnedCall &Call, Now Time, Outbox &Out) {
+  const base::ProgramId Program(Call.m_Message.request().program());
+  const program::OwnedProgram *Owned = m_Programs.find(Program);
+  const bool IsOpen = Owned != nullptr && Owned->state().isCreated();
+  if (!IsOpen) {
+    if (Time.m_Monotonic >= Call.m_Deadline)
+      return refuseAndForget(Call, ErrorKind::QuorumUnavailable, Out);
+    return;
+  }
+  if (Owned->state().organisation().str() != Call.m_Message.organisation())
+    return refuseAndForget(Call, ErrorKind::NotFound, Out);
+  if (!Owned->state().hasEnded())
+    return m_Programs.end(Program, "ended by the caller", Time, Out);
+  endAtSource(Call, CallOutcome(), Duration::zero(), Out);
+  ++m_Counters.m_Succeeded;
+  forget(Call.m_Number);
+}
+
+void OwnedCalls::refuseAndForget(OwnedCall &Call, ErrorKind Kind, Outbox &Out) {
+  refuse(Call, Kind, "", Out);
+  forget(Call.m_Number);
+}
+
 void OwnedCalls::onReady(const program::CallReady &Event, Now Time,
                          Outbox &Out) {
   const auto Found = m_Calls.find(Event.m_Call);
@@ -247,12 +271,13 @@
     abandon(Found->second, Refusal.m_Kind, Refusal.m_RetryAfter, Time, Out);
 }
 
-void OwnedCalls::onDone(const program::CallDone &Event, Outbox &Out) {
+void OwnedCalls::onDone(const program::CallDone &Event, Now Time, Outbox &Out) {
   const auto Found = m_Calls.find(Event.m_Call);
   if (Found == m_Calls.end())
     return; // It was answered before its end was recorded.
   OwnedCall &Call = Found->second;
   const ForwardCall &Message = Call.m_Message;
+  withdraw(Call, Time);
   if (!Event.m_Outcome.error_kind().empty()) {
     ++m_Counters.m_Refused;
     endAtSource(Call, Event.m_Outcome, Duration::zero(), Out);
@@ -274,16 +299,44 @@
   forget(Call.m_Number);
 }
 
+/// Takes a call that is over out of the queue or away from its endpoint.
+void OwnedCalls::withdraw(OwnedCall &Call, Now Time) {
+  if (Call.m_Stage == CallStage::Queued)
+    m_Queue.remove(Call.m_Number);
+  if (Call.m_Stage == CallStage::Running)
+    stopExchange(Call);
+  if (Call.m_Stage == CallStage::Running || Call.m_Stage == CallStage::Claiming)
+    freeSlot(Call, CallResult::Cancelled, Time);
+}
+
 void OwnedCalls::onReleased(const program::MemoryReleased &Event, Now Time) {
   m_Queue.programEnded(Event.m_Program);
-  for (const base::EndpointId &Endpoint : Event.m_Endpoints)
-    m_Releases.add(Event.m_Program, Endpoint, Time.m_Monotonic);
+  m_Releases.add(Event.m_Program, endpointsToFree(Event, Time),
+                 Time.m_Monotonic);
+}
+
+std::vector<base::EndpointId>
+OwnedCalls::endpointsToFree(const program::MemoryReleased &Event,
+                            Now Time) const {
+  if (!Event.m_MayBeElsewhere)
+    return Event.m_Endpoints;
+  std::vector<base::EndpointId> All;
+  for (const auto &Endpoint :
+       m_Queue.endpoints().usableEndpoints(Time.m_Monotonic))
+    All.push_back(Endpoint.m_Id);
+  return All;
 }
 
 void OwnedCalls::onTick(Now Time, Outbox &Out) {
   m_Releases.onTick(Time.m_Monotonic);
+  for (const base::ProgramId &Program : m_Releases.takeFreed())
+    m_Programs.memoryFreed(Program, Time, Out);
   for (auto Next = m_Calls.begin(); Next != m_Calls.end();) {
     OwnedCall &Call = (Next++)->second;
+    if (Call.m_Message.kind() == ForwardCall::END) {
+      tryEnd(Call, Time, Out);
+      continue;
+    }
     const bool Passed = Time.m_Monotonic >= Call.m_Deadline;
     if (Passed && Call.m_Message.kind() == ForwardCall::RUN)
       expire(Call, Time, Out);
@@ -323,12 +376,14 @@
   if (Stoppable) {
     stopExchange(Call);
     freeSlot(Call, CallResult::Cancelled, Time);
+    return finish(Call, outcomeOf(ErrorKind::AnswerInterrupted, "cancelled"),
+                  Time, Out);
   }
-  if (Waiting)
-    m_Queue.remove(Call.m_Number);
   // A call that runs once goes on: its outcome has to be recorded.
-  if (Waiting || Stoppable)
-    abandon(Call, ErrorKind::AnswerInterrupted, Duration::zero(), Time, Out);
+  if (!Waiting)
+    return;
+  m_Queue.remove(Call.m_Number);
+  abandon(Call, ErrorKind::DeadlineExceeded, Duration::zero(), Time, Out);
 }
 
 void OwnedCalls::freeSlot(OwnedCall &Call, CallResult Result, Now Time) {
@@ -347,11 +402,10 @@
   m_ByExchange.erase(Call.m_Exchange);
 }
 
-void OwnedCalls::finish(OwnedCall &Call, CallOutcome Outcome, Now Time,
+void OwnedCalls::finish(OwnedCall &Call, const CallOutcome &Outcome, Now Time,
                         Outbox &Out) {
   Call.m_Stage = CallStage::Recording;
-  m_Programs.finish(Call.m_Number, std::move(Outcome), Call.m_Answer, Time,
-                    Out);
+  m_Programs.finish(Call.m_Number, Outcome, Call.m_Answer, Time, Out);
 }
 
 void OwnedCalls::abandon(OwnedCall &Call, ErrorKind Kind, Duration RetryAfter,
--- a/src/entry/OwnedCalls.h
+++ b/src/entry/OwnedCalls.h
@@ -86,7 +86,14 @@
                messages::Outbox &Out);
   void onClaimed(const program::CallClaimed &Event, base::Now Time,
                  messages::Outbox &Out);
-  void onDone(const program::CallDone &Event, messages::Outbox &Out);
+  void onDone(const program::CallDone &Event, base::Now Time,
+              messages::Outbox &Out);
+  void withdraw(OwnedCall &Call, base::Now Time);
+  void tryEnd(OwnedCall &Call, base::Now Time, messages::Outbox &Out);
+  void refuseAndForget(OwnedCall &Call, base::ErrorKind Kind,
+                       messages::Outbox &Out);
+  std::vector<base::EndpointId>
+  endpointsToFree(const program::MemoryReleased &Event, base::Now Time) const;
   void onReleased(const program::MemoryReleased &Event, base::Now Time);
   void onDispatch(const schedule::Dispatch &Dispatch, base::Now Time,
                   messages::Outbox &Out);
@@ -108,14 +115,13 @@
   void settleFailed(OwnedCall &Call, schedule::CallResult Result,
                     const std::string &Detail, base::Now Time,
                     messages::Outbox &Out);
-  bool retryElsewhere(OwnedCall &Call, schedule::CallResult Result,
-                      base::Now Time);
+  bool retryElsewhere(OwnedCall &Call, base::Now Time);
   void askOutcome(OwnedCall &Call);
   void expire(OwnedCall &Call, base::Now Time, messages::Outbox &Out);
   void stopExchange(OwnedCall &Call);
   void freeSlot(OwnedCall &Call, schedule::CallResult Result, base::Now Time);
-  void finish(OwnedCall &Call, messages::CallOutcome Outcome, base::Now Time,
-              messages::Outbox &Out);
+  void finish(OwnedCall &Call, const messages::CallOutcome &Outcome,
+              base::Now Time, messages::Outbox &Out);
   void abandon(OwnedCall &Call, base::ErrorKind Kind, base::Duration RetryAfter,
                base::Now Time, messages::Outbox &Out);
 
--- a/src/entry/OwnedExchange.cpp
+++ b/src/entry/OwnedExchange.cpp
@@ -119,7 +119,7 @@
   Outcome.set_recomputed_tokens(Use.m_Prompt -
                                 std::min(Use.m_Cached, Use.m_Prompt));
   freeSlot(Call, CallResult::Succeeded, Time);
-  finish(Call, std::move(Outcome), Time, Out);
+  finish(Call, Outcome, Time, Out);
 }
 
 void OwnedCalls::onFailed(OwnedCall &Call, const ExchangeFailed &Failure,
@@ -140,18 +140,17 @@
 void OwnedCalls::settleUnsent(OwnedCall &Call, const std::string &Detail,
                               Now Time, Outbox &Out) {
   Call.m_Answer.clear();
-  if (Call.m_Repeatable && retryElsewhere(Call, CallResult::Refused, Time))
-    return;
   freeSlot(Call, CallResult::Refused, Time);
-  if (Call.m_Repeatable)
-    return abandon(Call, ErrorKind::EndpointRefused, Duration::zero(), Time,
-                   Out);
-  // A claim binds this instance to one attempt, and that attempt is over.
+  const bool InTime = Time.m_Monotonic < Call.m_Deadline;
+  if (Call.m_Repeatable && InTime && retryElsewhere(Call, Time))
+    return;
+  // For a call that runs once, its claim binds this instance to one attempt,
+  // and that attempt is over.
   CallOutcome Outcome;
   Outcome.set_error_kind(
       std::string(base::errorAnswer(ErrorKind::EndpointRefused).m_Name));
   Outcome.set_detail(Detail);
-  finish(Call, std::move(Outcome), Time, Out);
+  finish(Call, Outcome, Time, Out);
 }
 
 /// The endpoint may have run the call.
@@ -164,16 +163,19 @@
   }
   const bool Streamed = Call.m_Sent > 0;
   const bool InTime = Time.m_Monotonic < Call.m_Deadline;
-  if (!Streamed && InTime && retryElsewhere(Call, Result, Time))
-    return;
   freeSlot(Call, Result, Time);
+  if (!Streamed && InTime && retryElsewhere(Call, Time))
+    return;
   const ErrorKind Kind = Call.isModelCall() ? ErrorKind::AnswerInterrupted
                                             : ErrorKind::EndpointFailed;
-  abandon(Call, Kind, Duration::zero(), Time, Out);
+  CallOutcome Outcome;
+  Outcome.set_error_kind(std::string(base::errorAnswer(Kind).m_Name));
+  Outcome.set_detail(Detail);
+  finish(Call, Outcome, Time, Out);
 }
 
-bool OwnedCalls::retryElsewhere(OwnedCall &Call, CallResult Result, Now Time) {
-  if (!m_Queue.retry(Call.m_Number, Result, Time.m_Monotonic))
+bool OwnedCalls::retryElsewhere(OwnedCall &Call, Now Time) {
+  if (!m_Queue.retry(Call.m_Number, Time.m_Monotonic))
     return false;
   Call.m_Stage = CallStage::Queued;
   Call.m_Answer.clear();
@@ -208,7 +210,7 @@
         std::string(base::errorAnswer(ErrorKind::OutcomeUnknown).m_Name));
     Outcome.set_detail("sent to " + Call.m_Dispatch.m_Endpoint.str());
   }
-  finish(Call, std::move(Outcome), Time, Out);
+  finish(Call, Outcome, Time, Out);
 }
 
 } // namespace psp::entry
--- a/src/ledger/LedgerCore.cpp
+++ b/src/ledger/LedgerCore.cpp
@@ -1,5 +1,6 @@
 #include "ledger/LedgerCore.h"
 
+#include "base/Error.h"
 #include "base/Hash.h"
 
 #include <utility>
@@ -31,7 +32,7 @@
   Voter.m_HeartbeatInterval =
       Options.m_Settings.m_ElectionTimeout / HeartbeatsInTimeout;
   Voter.m_Seed = Options.m_Seed;
-  Voter.m_Forgetful = Options.m_Forgetful;
+  Voter.m_FreshIdentity = base::toHex(base::randomBytes(GenerationBytes));
   for (const settings::Peer &Peer : Process.m_Peers) {
     if (Peer.m_Role == PeerRole::Ledger)
       Voter.m_Voters.push_back(Peer.m_Instance);
@@ -86,7 +87,16 @@
 }
 
 void LedgerCore::onPeer(const Envelope &Message, Now Time) {
-  const InstanceId From(Message.sender());
+  try {
+    dispatchBody(InstanceId(Message.sender()), Message, Time);
+  } catch (const base::UserError &) {
+    ++m_MalformedMessages; // The part that threw has changed nothing.
+  }
+  settle();
+}
+
+void LedgerCore::dispatchBody(const InstanceId &From, const Envelope &Message,
+                              Now Time) {
   switch (Message.body_case()) {
   case Envelope::kHeartbeat:
     m_Members.onHeartbeat(From, Message.heartbeat(), Time.m_Monotonic);
@@ -111,7 +121,6 @@
   default:
     break;
   }
-  settle();
 }
 
 void LedgerCore::onControlSynced(std::uint64_t Sequence, Now Time) {
--- a/src/ledger/LedgerCore.h
+++ b/src/ledger/LedgerCore.h
@@ -25,7 +25,6 @@
   settings::LedgerSettings m_Settings;
   std::uint64_t m_Incarnation = 0;
   std::uint64_t m_Seed = 0;
-  bool m_Forgetful = false; ///< The data folder was found empty.
   base::TimePoint m_Start;
 };
 
@@ -72,6 +71,8 @@
     std::uint64_t m_Submission = 0;
   };
 
+  void dispatchBody(const base::InstanceId &From,
+                    const messages::Envelope &Message, base::Now Time);
   void settle();
   void release(messages::Outbox &Box, std::deque<messages::Outgoing> &Withheld,
                std::uint64_t Synced);
@@ -91,6 +92,7 @@
   std::uint64_t m_ProgramSynced = 0;
   std::map<std::uint64_t, PeerSubmission> m_Submissions; ///< By ticket.
   std::uint64_t m_NextTicket;
+  std::uint64_t m_MalformedMessages = 0;
   std::vector<messages::Outgoing> m_Messages;
   std::vector<DecidedCommand> m_Decided;
 };
--- a/src/ledger/LedgerReport.cpp
+++ b/src/ledger/LedgerReport.cpp
@@ -34,6 +34,7 @@
   Dump["program_synced"] = m_ProgramSynced;
   Dump["withheld_messages"] =
       m_ControlWithheld.size() + m_ProgramWithheld.size();
+  Dump["malformed_messages"] = m_MalformedMessages;
   Dump["submissions"] = m_Submissions.size();
   return Dump.dump();
 }
--- a/src/net/CallerServer.cpp
+++ b/src/net/CallerServer.cpp
@@ -75,7 +75,8 @@
   RequestNumber m_NextRequest = 1;
   std::size_t m_Connections = 0;
   bool m_Draining = false;
-  std::unordered_map<RequestNumber, std::weak_ptr<Session>> m_Sessions;
+  /// Keeps each session alive while its request is under way.
+  std::unordered_map<RequestNumber, std::shared_ptr<Session>> m_Sessions;
 };
 
 /// One caller's connection.
@@ -186,7 +187,7 @@
         .m_IdempotencyKey = field(Message, "Idempotency-Key"),
         .m_DeadlineMs = field(Message, "Deadline-Ms"),
     };
-    m_Server->m_Sessions[m_Request] = weak_from_this();
+    m_Server->m_Sessions[m_Request] = shared_from_this();
     if (!m_Server->m_Receive(std::move(Request))) {
       return answer(problemAnswer(m_Request, ErrorKind::Overloaded,
                                   "the instance has no room for requests"));
@@ -353,8 +354,8 @@
     const auto Found = m_Impl->m_Sessions.find(Part.m_Request);
     if (Found == m_Impl->m_Sessions.end())
       return;
-    if (const auto Target = Found->second.lock())
-      (*Target.*Member)(Part);
+    const auto Target = Found->second; // Outlives its row of the table.
+    (*Target.*Member)(Part);
   };
   if (const auto *Answer = std::get_if<CallerAnswer>(&Reply))
     Deliver(*Answer, &Impl::Session::answer);
--- a/src/programs/ledger/LedgerProcess.cpp
+++ b/src/programs/ledger/LedgerProcess.cpp
@@ -122,7 +122,6 @@
                         .m_Seed =
                             seedFrom(m_Settings.m_Process.m_Instance.str() +
                                      std::to_string(Start.m_Wall)),
-                        .m_Forgetful = m_Identity.m_IsNew,
                         .m_Start = Start.m_Monotonic},
       *m_ControlJournal, *m_ProgramJournal);
   for (const std::string &Record : m_ControlRecords)
