--- a/tests/support/MemoryJournal.h
+++ b/tests/support/MemoryJournal.h
@@ -29,6 +29,8 @@
   }
   std::uint64_t syncedSequence() const override { return m_Synced; }
 
+  std::uint64_t appendedSequence() const { return m_Appended; }
+
   /// Syncs only up to \p Sequence, as when a crash meets a running sync.
   void syncTo(std::uint64_t Sequence) { m_Synced = Sequence; }
 
