--- a/src/program/OwnedProgram.cpp
+++ b/src/program/OwnedProgram.cpp
@@ -191,8 +191,12 @@
     finishTurn(failedOutcome(base::ErrorKind::OutcomeUnknown,
                              "the instance that sent the call is gone"),
                "", Step);
-  if (m_State.hasEnded() && !m_State.isMemoryFreed())
+  if (m_State.isMemoryFreed()) {
+    m_FreedIndex = m_Owner.lastIndex();
+    m_FreedSince = Step.m_Now.m_Monotonic;
+  } else if (m_State.hasEnded()) {
     m_EndIndex = m_Owner.lastIndex();
+  }
 }
 
 std::uint64_t OwnedProgram::durableIndex(const StepContext &Step) const {
--- a/src/program/OwnedProgram.h
+++ b/src/program/OwnedProgram.h
@@ -27,6 +27,7 @@
   base::Duration m_RetransmitInterval = base::milliseconds(50);
   /// How long a call waits for the ledgers before it is refused.
   base::Duration m_QuorumTimeout = base::seconds(3);
+  base::Duration m_HomeLease = base::seconds(30);
   /// Random, and another one at each start of the process: it keeps a
   /// restarted instance from repeating a ballot.
   std::uint64_t m_Seed = 0;
--- a/src/program/OwnedProgramLoss.cpp
+++ b/src/program/OwnedProgramLoss.cpp
@@ -41,8 +41,10 @@
       Outcomes[Number] = failedOutcome(ErrorKind::QuorumUnavailable,
                                        "another instance owns the program now");
   }
-  for (auto Row = m_Calls.begin(); Row != m_Calls.end();)
+  for (auto Row = m_Calls.begin(); Row != m_Calls.end();) {
+    Row->second.m_FromRecord = false;
     Row = emitDone(Row, Outcomes[Row->first], "", Step);
+  }
 }
 
 void OwnedProgram::refuseAll(ErrorKind Kind, const std::string &Detail,
@@ -88,11 +90,12 @@
     }
   }
   for (auto Row = m_Calls.begin(); Row != m_Calls.end();) {
-    const TrackedCall &Call = Row->second;
+    TrackedCall &Call = Row->second;
     if (!hasWaitedTooLong(Call, Step.m_Now)) {
       ++Row;
       continue;
     }
+    Call.m_FromRecord = false;
     messages::CallOutcome Outcome =
         failedOutcome(ErrorKind::QuorumUnavailable, Detail);
     if (Call.m_Stage == CallStage::Finishing)
--- a/src/program/ProgramCalls.h
+++ b/src/program/ProgramCalls.h
@@ -58,7 +58,7 @@
   CallNumber m_Call = 0;
   messages::CallOutcome m_Outcome{};
   std::string m_Answer{};
-  bool m_FromRecord = false; ///< Another attempt's result.
+  bool m_FromRecord = false; ///< The committed result of another attempt.
 };
 
 /// The program is gone: its endpoints must free what they hold for it. Sent
--- a/src/program/ProgramReplica.cpp
+++ b/src/program/ProgramReplica.cpp
@@ -3,12 +3,16 @@
 #include "base/Error.h"
 #include "base/Hash.h"
 #include "program/Ballot.h"
+#include "program/ProgramIds.h"
 
 #include <algorithm>
 
 namespace psp::program {
 namespace {
 
+/// Programs in one answer to a list request.
+constexpr int MaxListedPrograms = 500;
+
 bool sameBallot(const messages::Ballot &Left, const messages::Ballot &Right) {
   return compareBallots(Left, Right) == std::strong_ordering::equal;
 }
@@ -97,17 +101,46 @@
 void ProgramReplica::onMessage(const base::InstanceId &From,
                                const messages::ProgramMessage &Message,
                                base::Now Time, messages::Outbox &Out) {
-  (void)Time;
   base::checkInvariant(!m_Generation.empty(), "the replay was not finished");
   if (Message.has_open())
     onOpen(From, Message.open(), Out);
   else if (Message.has_append())
     onAppend(From, Message.append(), Out);
   else if (Message.has_probe())
-    Out.add(From, m_GenerationRecord)
-        .mutable_program()
-        ->mutable_probe_reply()
-        ->set_generation(m_Generation);
+    onProbe(From, Message.probe(), Time, Out);
+  else if (Message.has_list())
+    onList(From, Message.list(), Out);
+}
+
+void ProgramReplica::onProbe(const base::InstanceId &From,
+                             const messages::LedgerProbe &Probe, base::Now Time,
+                             messages::Outbox &Out) {
+  m_HomeContacts.noteContact(base::DataCentreId(Probe.data_centre()),
+                             Time.m_Monotonic);
+  auto &Reply = *Out.add(From, m_GenerationRecord)
+                     .mutable_program()
+                     ->mutable_probe_reply();
+  Reply.set_generation(m_Generation);
+  Reply.set_sequence(Probe.sequence());
+}
+
+void ProgramReplica::onList(const base::InstanceId &From,
+                            const messages::ProgramList &List,
+                            messages::Outbox &Out) const {
+  auto &Reply = *Out.add(From).mutable_program()->mutable_list_reply();
+  Reply.set_home(List.home());
+  for (auto Row = m_Programs.upper_bound(List.after()); Row != m_Programs.end();
+       ++Row) {
+    const auto &[Program, Held] = *Row;
+    if (Held.m_MemoryFreed || Held.m_Entries.empty() ||
+        homeOf(base::ProgramId(Program)).str() != List.home())
+      continue;
+    if (Reply.programs_size() == MaxListedPrograms) {
+      Reply.set_more(true);
+      return;
+    }
+    Reply.add_programs(Program);
+  }
 }
 
 const HeldProgram *ProgramReplica::find(const base::ProgramId &Program) const {
@@ -230,6 +263,7 @@
   Held.m_CommitIndex = CommitIndex;
   if (!Freed)
     return;
+  Held.m_MemoryFreed = true;
   m_Ended.push_back(Program);
   if (m_Ended.size() <= MaxEndedInMemory)
     return;
--- a/src/program/ProgramReplica.h
+++ b/src/program/ProgramReplica.h
@@ -36,13 +36,14 @@
 #include "base/Time.h"
 #include "generated/program.pb.h"
 #include "messages/Outbox.h"
+#include "program/HomeLease.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace psp::program {
@@ -53,6 +54,7 @@
   std::vector<messages::ProgramEntry> m_Entries;
   std::uint64_t m_CommitIndex = 0; ///< As told by the owner; not on disk.
   bool m_Forgetful = true;
+  bool m_MemoryFreed = false;     ///< Ended, and its endpoints have freed it.
   bool m_Evicted = false;         ///< Ended; entries are in the journal only.
   std::uint64_t m_LastRecord = 0; ///< Replies leave after this record.
   /// Entries accepted while the home was cut off that a later owner's log
@@ -87,6 +89,13 @@
   /// The program's copy, or null.
   const HeldProgram *find(const base::ProgramId &Program) const;
 
+  const std::map<std::string, HeldProgram> &programs() const {
+    return m_Programs;
+  }
+
+  /// When each data centre's entry instances were last heard from.
+  const HomeContacts &homeContacts() const { return m_HomeContacts; }
+
   const std::string &generation() const { return m_Generation; }
 
 private:
@@ -94,6 +103,10 @@
               messages::Outbox &Out);
   void onAppend(const base::InstanceId &From,
                 const messages::ProgramAppend &Append, messages::Outbox &Out);
+  void onProbe(const base::InstanceId &From, const messages::LedgerProbe &Probe,
+               base::Now Time, messages::Outbox &Out);
+  void onList(const base::InstanceId &From, const messages::ProgramList &List,
+              messages::Outbox &Out) const;
   bool accept(const messages::ProgramAppend &Append, HeldProgram &Held,
               messages::ProgramAppendReply &Reply);
   void write(const messages::ReplicaRecord &Record, HeldProgram &Held);
@@ -104,8 +117,9 @@
   base::RecordSink &m_Journal;
   std::string m_Generation;
   std::uint64_t m_GenerationRecord = 0;
-  std::unordered_map<std::string, HeldProgram> m_Programs;
-  std::deque<std::string> m_Ended; ///< In memory, oldest first.
+  HomeContacts m_HomeContacts;
+  std::map<std::string, HeldProgram> m_Programs; ///< Paged by identifier.
+  std::deque<std::string> m_Ended;               ///< In memory, oldest first.
 };
 
 } // namespace psp::program
--- a/src/program/ProgramTable.cpp
+++ b/src/program/ProgramTable.cpp
@@ -33,17 +33,22 @@
 } // namespace
 
 ProgramTable::ProgramTable(TableOptions Options)
-    : m_Options(std::move(Options)), m_NextNonce(m_Options.m_Seed) {}
+    : m_Options(std::move(Options)),
+      m_HomeLease({.m_Ledgers = m_Options.m_Ledgers,
+                   .m_Length = m_Options.m_HomeLease}),
+      m_NextNonce(m_Options.m_Seed) {}
 
 void ProgramTable::setCutOff(bool CutOff, bool AcceptLocalTurns) {
   m_CutOff = {.m_CutOff = CutOff, .m_AcceptLocalTurns = AcceptLocalTurns};
 }
 
 StepContext ProgramTable::step(base::Now Time, messages::Outbox &Out) {
+  const bool AcceptsLocal = m_CutOff.m_AcceptLocalTurns && holdsHome(Time);
   return {.m_Now = Time,
           .m_Out = Out,
           .m_Disks = m_Disks,
-          .m_CutOff = m_CutOff,
+          .m_CutOff = {.m_CutOff = m_CutOff.m_CutOff,
+                       .m_AcceptLocalTurns = AcceptsLocal},
           .m_Events = m_Events};
 }
 
@@ -193,6 +198,15 @@
   settle(ensure(Program, Step), Step);
 }
 
+void ProgramTable::list(const base::InstanceId &Ledger,
+                        const base::DataCentreId &Home, messages::Outbox &Out) {
+  Out.add(Ledger).mutable_program()->mutable_list()->set_home(Home.str());
+}
+
+std::vector<base::ProgramId> ProgramTable::takeListed() {
+  return std::exchange(m_Listed, {});
+}
+
 void ProgramTable::resign(const base::ProgramId &Program, base::Now Time) {
   OwnedProgram *Owned = findOwned(Program.str());
   if (Owned == nullptr)
@@ -211,6 +225,17 @@
     onProbeReply(From, Message.probe_reply(), Step);
     return;
   }
+  if (Message.has_list_reply()) {
+    const messages::ProgramListReply &Reply = Message.list_reply();
+    for (const std::string &Program : Reply.programs())
+      m_Listed.emplace_back(Program);
+    if (Reply.more() && Reply.programs_size() > 0) {
+      auto &Next = *Out.add(From).mutable_program()->mutable_list();
+      Next.set_home(Reply.home());
+      Next.set_after(Reply.programs(Reply.programs_size() - 1));
+    }
+    return;
+  }
   OwnedProgram *Owned = nullptr;
   if (Message.has_open_reply())
     Owned = findOwned(Message.open_reply().program());
@@ -225,6 +250,8 @@
 void ProgramTable::onProbeReply(const base::InstanceId &From,
                                 const messages::LedgerProbeReply &Reply,
                                 StepContext &Step) {
+  if (Reply.sequence() == m_ProbeSequence)
+    m_HomeLease.noteContact(From, m_ProbeSent);
   std::string &Known = m_Disks[From];
   if (Known == Reply.generation())
     return;
@@ -244,8 +271,13 @@
   const bool Enough = m_Disks.size() == m_Options.m_Ledgers.size();
   m_NextProbe =
       Time.m_Monotonic + (Enough ? ProbeInterval : FirstProbeInterval);
-  for (const base::InstanceId &Ledger : m_Options.m_Ledgers)
-    Out.add(Ledger).mutable_program()->mutable_probe();
+  ++m_ProbeSequence;
+  m_ProbeSent = Time.m_Monotonic;
+  for (const base::InstanceId &Ledger : m_Options.m_Ledgers) {
+    auto &Probe = *Out.add(Ledger).mutable_program()->mutable_probe();
+    Probe.set_sequence(m_ProbeSequence);
+    Probe.set_data_centre(m_Options.m_DataCentre.str());
+  }
 }
 
 void ProgramTable::expire(StepContext &Step) {
--- a/src/program/ProgramTable.h
+++ b/src/program/ProgramTable.h
@@ -19,8 +19,8 @@
 /// answers say "local". Only programs that this table already led, and new
 /// ones, go on so; a program that would have to be opened needs the majority,
 /// since the local ledger may lack its last committed entries. A claim always
-/// needs the majority. Whoever calls setCutOff holds the home's lease
-/// (HomeLease.h), which keeps other data centres from taking the home over.
+/// needs the majority. Local turns stop when the home lease has run out
+/// (HomeLease.h): until then no other data centre takes the home over.
 
 #ifndef PSP_PROGRAM_PROGRAMTABLE_H
 #define PSP_PROGRAM_PROGRAMTABLE_H
@@ -29,6 +29,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 #include "messages/Outbox.h"
+#include "program/HomeLease.h"
 #include "program/OwnedProgram.h"
 #include "program/ProgramCalls.h"
 #include "program/ProgramIds.h"
@@ -47,7 +48,8 @@
   explicit ProgramTable(TableOptions Options);
 
   /// \p CutOff: no majority of the ledgers can be reached. \p AcceptLocalTurns:
-  /// the configuration allows local turns and the home's lease is held.
+  /// the configuration allows local turns. They are accepted while the home
+  /// lease is held.
   void setCutOff(bool CutOff, bool AcceptLocalTurns);
 
   /// Creates \p Program, whose identifier must be new (makeProgramId). CallDone
@@ -97,6 +99,13 @@
   void adopt(const base::ProgramId &Program, base::Now Time,
              messages::Outbox &Out);
 
+  /// Asks \p Ledger for the programs of this data centre that need an owner;
+  /// takeListed() has them later. The shell adopts those that it should own:
+  /// at the start, after another instance died, and after a takeover of a home.
+  void list(const base::InstanceId &Ledger, const base::DataCentreId &Home,
+            messages::Outbox &Out);
+  std::vector<base::ProgramId> takeListed();
+
   /// Gives the program up: a planned stop, or another instance owns it now.
   /// Calls that were not sent are refused as not run.
   void resign(const base::ProgramId &Program, base::Now Time);
@@ -109,6 +118,11 @@
   /// Takes the events out, oldest first.
   std::vector<ProgramEvent> takeEvents();
 
+  /// Whether this data centre holds its home lease.
+  bool holdsHome(base::Now Time) const {
+    return m_HomeLease.isHeld(Time.m_Monotonic);
+  }
+
   std::vector<base::ProgramId> programs() const;
   std::size_t programCount() const { return m_Programs.size(); }
 
@@ -131,6 +145,10 @@
 
   TableOptions m_Options;
   CutOffMode m_CutOff;
+  HomeLease m_HomeLease;
+  std::uint64_t m_ProbeSequence = 0;
+  base::TimePoint m_ProbeSent;
+  std::vector<base::ProgramId> m_Listed;
   LedgerDisks m_Disks;
   std::unordered_map<base::ProgramId, std::unique_ptr<OwnedProgram>> m_Programs;
   std::unordered_map<CallNumber, base::ProgramId> m_ProgramOfCall;
--- a/tests/correctness/ProgramTableTest.cpp
+++ b/tests/correctness/ProgramTableTest.cpp
@@ -315,6 +315,41 @@
   }
 }
 
+TEST_F(ProgramTableTest, LocalTurnsStopWhenTheHomeLeaseHasRunOut) {
+  create(0);
+  m_Fleet.cut("ledger-b");
+  m_Fleet.cut("ledger-c");
+  m_Fleet.table(0).setCutOff(true, true);
+  m_Fleet.pass(base::seconds(31));
+  submit(0, chat(1, 1, "bevel?"));
+  m_Fleet.pass(base::seconds(4));
+  EXPECT_EQ(m_Fleet.errorOf(0, 1), "quorum-unavailable");
+}
+
+TEST_F(ProgramTableTest, LedgerListsProgramsThatNeedAnOwner) {
+  create(0);
+  const base::InstanceId Ledger("ledger-b");
+  m_Fleet.table(1).list(Ledger, base::DataCentreId("brum-a"),
+                        m_Fleet.outbox(1));
+  m_Fleet.table(2).list(Ledger, base::DataCentreId("stoke-b"),
+                        m_Fleet.outbox(2));
+  m_Fleet.settle();
+  EXPECT_EQ(m_Fleet.table(1).takeListed(),
+            std::vector<base::ProgramId>{m_Program});
+  EXPECT_TRUE(m_Fleet.table(2).takeListed().empty());
+  {
+    SCOPED_TRACE("an ended program whose memory is freed needs none");
+    m_Fleet.table(0).end(m_Program, "done", m_Fleet.now(), m_Fleet.outbox(0));
+    m_Fleet.settle();
+    m_Fleet.table(0).memoryFreed(m_Program, m_Fleet.now(), m_Fleet.outbox(0));
+    m_Fleet.settle();
+    m_Fleet.table(1).list(Ledger, base::DataCentreId("brum-a"),
+                          m_Fleet.outbox(1));
+    m_Fleet.settle();
+    EXPECT_TRUE(m_Fleet.table(1).takeListed().empty());
+  }
+}
+
 TEST_F(ProgramTableTest, DisplacedLocalTurnsStayOnTheLedger) {
   create(0);
   m_Fleet.cutLink(0, "ledger-b");
