--- a/tests/support/LimitsFleet.h
+++ b/tests/support/LimitsFleet.h
@@ -92,6 +92,11 @@
         base::Duration(Reading + m_Nodes[Node].m_ClockOffset));
   }
 
+  /// To be called at the very beginning.
+  void setClockRate(std::size_t Node, double Rate) {
+    m_Nodes[Node].m_ClockRate = Rate;
+  }
+
   void schedule(TrueTime Delay, std::function<void()> What) {
     m_Events.push({.m_At = m_Now + Delay,
                    .m_Order = ++m_Order,
@@ -165,6 +170,13 @@
     else
       m_Cut.erase(DataCentre);
   }
+  /// Cuts one instance off from all others, or heals that.
+  void setIsolated(std::size_t Node, bool Isolated) {
+    if (Isolated)
+      m_Isolated.insert(Node);
+    else
+      m_Isolated.erase(Node);
+  }
 
 private:
   static constexpr TrueTime HeartbeatInterval = 200'000;
@@ -195,6 +207,8 @@
   }
 
   bool isCut(std::size_t From, std::size_t To) const {
+    if (From != To && (m_Isolated.contains(From) || m_Isolated.contains(To)))
+      return true;
     const auto &Source = member(From).m_DataCentre;
     const auto &Target = member(To).m_DataCentre;
     return Source != Target &&
@@ -289,6 +303,7 @@
   std::vector<Node> m_Nodes;
   std::vector<std::vector<TrueTime>> m_Heard; ///< By receiver and sender.
   std::set<base::DataCentreId> m_Cut;
+  std::set<std::size_t> m_Isolated;
   std::uint64_t m_LastTicket = 0;
   std::map<std::uint64_t, std::pair<TrueTime, base::OrganisationId>> m_Asked;
   std::vector<SeenDecision> m_Decisions;
