--- a/src/limits/Account.h
+++ b/src/limits/Account.h
@@ -55,6 +55,7 @@
   std::optional<std::uint64_t> m_Open; ///< The request that is waited for.
   std::vector<LoanRequest> m_Requests; ///< Those that may still be answered.
   std::vector<Loan> m_Pool;            ///< Oldest first.
+  base::TimePoint m_BalanceNotBefore;
 };
 
 struct Account {
--- a/src/limits/Lenders.cpp
+++ b/src/limits/Lenders.cpp
@@ -29,20 +29,35 @@
 std::optional<std::size_t> Lenders::choose(MicroTokens Missing,
                                            const Slice &Share,
                                            base::TimePoint Now) const {
+  if (expected(Share, Now, Now) < Missing)
+    return std::nullopt;
+  return richest(1, Share, Now);
+}
+
+std::optional<std::size_t> Lenders::richest(MicroTokens Least,
+                                            const Slice &Share,
+                                            base::TimePoint Now) const {
   std::optional<std::size_t> Best;
-  MicroTokens Most = 0;
-  MicroTokens Total = 0;
+  MicroTokens Most = Least - 1;
   for (std::size_t Each = 0; Each < m_Beliefs.size(); ++Each) {
     if (Each == m_OwnPosition || Now < m_Beliefs[Each].m_NotBefore)
       continue;
     const MicroTokens Level = estimate(m_Beliefs[Each], Share, Now);
-    Total += Level;
     if (Level > Most) {
       Most = Level;
       Best = Each;
     }
   }
-  return Total >= Missing ? Best : std::nullopt;
+  return Best;
+}
+
+MicroTokens Lenders::expected(const Slice &Share, base::TimePoint Now,
+                              base::TimePoint When) const {
+  MicroTokens Total = 0;
+  for (std::size_t Each = 0; Each < m_Beliefs.size(); ++Each)
+    if (Each != m_OwnPosition && Now >= m_Beliefs[Each].m_NotBefore)
+      Total += estimate(m_Beliefs[Each], Share, When);
+  return Total;
 }
 
 void Lenders::onReply(std::size_t Lender, MicroTokens Lent, MicroTokens Left,
--- a/src/limits/Lenders.h
+++ b/src/limits/Lenders.h
@@ -35,6 +35,15 @@
   std::optional<std::size_t> choose(MicroTokens Missing, const Slice &Share,
                                     base::TimePoint Now) const;
 
+  /// The lender that is believed to have most of those that may be asked now,
+  /// if it has at least \p Least.
+  std::optional<std::size_t> richest(MicroTokens Least, const Slice &Share,
+                                     base::TimePoint Now) const;
+
+  /// What the lenders that may be asked now are believed to have at \p When.
+  MicroTokens expected(const Slice &Share, base::TimePoint Now,
+                       base::TimePoint When) const;
+
   /// Whether a lender that may only be asked later had at least \p Missing
   /// when it was last heard of.
   bool mayHelpLater(MicroTokens Missing, const Slice &Share,
--- a/src/limits/Limiter.cpp
+++ b/src/limits/Limiter.cpp
@@ -17,17 +17,26 @@
   return static_cast<std::uint64_t>(Length.count());
 }
 
-/// How many tokens accrue to \p Of within \p Length, with what it has.
-std::uint32_t tokensWithin(const Account &Of, base::Duration Length) {
-  const MicroTokens Available = Of.available();
+/// A limiter asks a fuller one for a loan when they differ by this part of the
+/// burst, so that slices don't lie full while another one empties.
+constexpr MicroTokens BalancePart = 8;
+constexpr base::Duration BalanceInterval = base::milliseconds(50);
+
+/// How many tokens there will be for \p Of at \p When: what it has, what
+/// accrues, and what the others are believed to have to lend by then.
+std::uint32_t tokensUntil(const Account &Of, base::TimePoint Now,
+                          base::TimePoint When) {
   const Slice &Share = Of.m_Bucket.slice();
-  const MicroTokens Loans = Available - Of.m_Bucket.level();
-  if (Share.m_Burst + Loans < OneToken)
+  const MicroTokens Available = Of.available();
+  const MicroTokens Loans =
+      Of.m_Borrowing ? Of.m_Borrowing->m_Lenders.expected(Share, Now, When) : 0;
+  if (Share.m_Burst + Available - Of.m_Bucket.level() + Loans < OneToken)
     return 0;
-  const double Accrued = std::chrono::duration<double>(Length).count() *
+  const double Accrued = std::chrono::duration<double>(When - Now).count() *
                          static_cast<double>(Share.m_RatePerSecond);
   return static_cast<std::uint32_t>(
-      (static_cast<double>(Available) + std::max(0.0, Accrued)) / OneToken);
+      (static_cast<double>(Available + Loans) + std::max(0.0, Accrued)) /
+      OneToken);
 }
 
 } // namespace
@@ -207,10 +216,8 @@
   }
 }
 
-void Limiter::borrow(Account &Of, base::TimePoint Now) {
+Borrowing &Limiter::borrowing(Account &Of, base::TimePoint Now) {
   const LimitOptions &Options = m_Context.m_Options;
-  if (m_Context.m_DataCentres < 2)
-    return;
   if (!Of.m_Borrowing)
     Of.m_Borrowing = std::make_unique<Borrowing>(Borrowing{
         .m_Lenders = Lenders(m_Context.m_DataCentres, m_Context.m_OwnPosition,
@@ -219,28 +226,58 @@
                              Now),
         .m_Open = std::nullopt,
         .m_Requests = {},
-        .m_Pool = {}});
-  Borrowing &Current = *Of.m_Borrowing;
-  if (Current.m_Open)
-    return;
-  const MicroTokens Available = Of.available();
-  const auto Lender =
-      Current.m_Lenders.choose(OneToken - Available, Of.m_Bucket.slice(), Now);
-  if (!Lender)
-    return;
-  const MicroTokens Missing = OneToken * Of.m_Waiting - Available;
+        .m_Pool = {},
+        .m_BalanceNotBefore = Now});
+  return *Of.m_Borrowing;
+}
+
+void Limiter::askForLoan(Account &Of, std::size_t Lender, MicroTokens Needed,
+                         MicroTokens Extra, base::TimePoint Now) {
+  Borrowing &Current = borrowing(Of, Now);
   messages::LoanAsk Ask;
   Ask.set_request(m_Context.m_Ids.next());
   Ask.set_shard(m_Shard);
-  Ask.set_data_centre(Options.m_DataCentre.str());
+  Ask.set_data_centre(m_Context.m_Options.m_DataCentre.str());
   Ask.set_organisation(Of.m_Organisation.str());
-  Ask.set_needed(static_cast<std::uint64_t>(Missing));
-  Ask.set_extra(static_cast<std::uint64_t>(Missing));
+  Ask.set_needed(static_cast<std::uint64_t>(Needed));
+  Ask.set_extra(static_cast<std::uint64_t>(Extra));
   Current.m_Open = Ask.request();
   Current.m_Requests.push_back(
-      {.m_Request = Ask.request(), .m_Lender = *Lender, .m_AskedAt = Now});
+      {.m_Request = Ask.request(), .m_Lender = Lender, .m_AskedAt = Now});
   ++m_Context.m_Counters.m_BorrowAsks;
-  m_LoanAsks.push_back({.m_DataCentre = *Lender, .m_Ask = std::move(Ask)});
+  m_LoanAsks.push_back({.m_DataCentre = Lender, .m_Ask = std::move(Ask)});
+}
+
+void Limiter::borrow(Account &Of, base::TimePoint Now) {
+  if (m_Context.m_DataCentres < 2 || borrowing(Of, Now).m_Open)
+    return;
+  const MicroTokens Available = Of.available();
+  const auto Lender = Of.m_Borrowing->m_Lenders.choose(
+      OneToken - Available, Of.m_Bucket.slice(), Now);
+  if (!Lender)
+    return;
+  const MicroTokens Missing = OneToken * Of.m_Waiting - Available;
+  askForLoan(Of, *Lender, Missing, Missing, Now);
+}
+
+void Limiter::balance(Account &Of, base::TimePoint Now) {
+  if (m_Context.m_DataCentres < 2 || !canGive(Now))
+    return;
+  Of.m_Bucket.accrue(Now);
+  const Slice &Share = Of.m_Bucket.slice();
+  const MicroTokens Level = Of.m_Bucket.level();
+  if (Level + Of.m_Bucket.held() > Share.m_Burst - Share.m_Burst / BalancePart)
+    return;
+  Borrowing &Current = borrowing(Of, Now);
+  if (Current.m_Open || Now < Current.m_BalanceNotBefore)
+    return;
+  const auto Lender = Current.m_Lenders.richest(
+      Level + std::max<MicroTokens>(1, Share.m_Burst / BalancePart), Share,
+      Now);
+  if (!Lender)
+    return;
+  Current.m_BalanceNotBefore = Now + BalanceInterval;
+  askForLoan(Of, *Lender, 0, Share.m_Burst - Level - Of.m_Bucket.held(), Now);
 }
 
 void Limiter::refuseHopeless(Account &Of, base::TimePoint Now) {
@@ -258,7 +295,7 @@
     if (Now >= Each.m_GiveUpAt) {
       Hope = 0;
     } else if (!LoanPending) {
-      const std::uint32_t Served = tokensWithin(Of, Each.m_GiveUpAt - Now);
+      const std::uint32_t Served = tokensUntil(Of, Now, Each.m_GiveUpAt);
       Hope = std::min(Count, Served - std::min(Served, Ahead));
     }
     if (Hope < Count)
@@ -352,12 +389,12 @@
   const MicroTokens Extra =
       std::min((Level - Needed) / 2, static_cast<MicroTokens>(Ask.extra()));
   const MicroTokens Lent = Needed + Extra;
+  Reply.set_level(static_cast<std::uint64_t>(Level - Lent));
   if (Lent <= 0)
     return Reply;
   Of->m_Bucket.hold(Lent, Now);
   Reply.set_loan(m_Context.m_Ids.next());
   Reply.set_lent(static_cast<std::uint64_t>(Lent));
-  Reply.set_level(static_cast<std::uint64_t>(Level - Lent));
   m_Loans.add(Reply.loan(), Of->m_Bucket, Lent, Now);
   m_Context.m_Counters.m_LentMicro += Lent;
   return Reply;
@@ -428,6 +465,8 @@
         (Of.m_Borrowing &&
          (Of.m_Borrowing->m_Open || !Of.m_Borrowing->m_Pool.empty())))
       serve(Of, Now);
+    else
+      balance(Of, Now);
 }
 
 std::vector<TokenReplyTo> Limiter::takeReplies() {
--- a/src/limits/Limiter.h
+++ b/src/limits/Limiter.h
@@ -103,7 +103,11 @@
                    base::TimePoint Now);
   void serve(Account &Of, base::TimePoint Now);
   void grantWaiting(Account &Of, base::TimePoint Now);
+  Borrowing &borrowing(Account &Of, base::TimePoint Now);
   void borrow(Account &Of, base::TimePoint Now);
+  void balance(Account &Of, base::TimePoint Now);
+  void askForLoan(Account &Of, std::size_t Lender, MicroTokens Needed,
+                  MicroTokens Extra, base::TimePoint Now);
   void refuseHopeless(Account &Of, base::TimePoint Now);
   void refuse(Account &Of, Waiter &From, std::uint32_t Count);
   void settlePool(Account &Of, base::TimePoint Now);
--- a/tests/support/LimitsFleet.h
+++ b/tests/support/LimitsFleet.h
@@ -34,7 +34,9 @@
 
 struct FleetOptions {
   std::uint64_t m_Seed = 1;
-  std::vector<Member> m_Members;
+  std::vector<Member> m_Members; ///< Where the instances really are.
+  /// What the instances are told, if that is something else.
+  std::vector<Member> m_ToldMembers = {};
   LimitOptions m_Limits; ///< The member's own fields are filled in.
   LinkOptions m_Links;
   TrueTime m_Tick = 5000;
@@ -113,6 +115,17 @@
     m_Now = End;
   }
 
+  /// Draws how long a message takes.
+  TrueTime delay(std::size_t From, std::size_t To) {
+    std::uniform_real_distribution<double> Chance(0, 1);
+    const LinkOptions &Links = m_Options.m_Links;
+    const bool Local = member(From).m_DataCentre == member(To).m_DataCentre;
+    const auto Base =
+        static_cast<double>(Local ? Links.m_LocalDelay : Links.m_RemoteDelay);
+    return static_cast<TrueTime>(Base *
+                                 (1 + Links.m_Jitter * Chance(m_Random)));
+  }
+
   void admit(std::size_t Node, const base::OrganisationId &Organisation,
              TrueTime Patience) {
     if (!isUp(Node) || isFrozen(Node))
@@ -142,10 +155,12 @@
     if (isUp(Node))
       return;
     LimitOptions Options = m_Options.m_Limits;
+    Options.m_Members = m_Options.m_ToldMembers.empty()
+                            ? m_Options.m_Members
+                            : m_Options.m_ToldMembers;
     Options.m_Self = member(Node).m_Instance;
-    Options.m_DataCentre = member(Node).m_DataCentre;
+    Options.m_DataCentre = Options.m_Members[Node].m_DataCentre;
     Options.m_IsEntry = member(Node).m_IsEntry;
-    Options.m_Members = m_Options.m_Members;
     m_Nodes[Node].m_Limits = std::make_unique<RateLimits>(Options, clock(Node));
     m_Nodes[Node].m_Limits->setRates(m_Nodes[Node].m_Number,
                                      m_Nodes[Node].m_Rates, clock(Node));
@@ -178,6 +193,19 @@
       m_Isolated.erase(Node);
   }
 
+  bool isFrozen(std::size_t Node) const {
+    return m_Now < m_Nodes[Node].m_FrozenUntil;
+  }
+
+  bool isCut(std::size_t From, std::size_t To) const {
+    if (From != To && (m_Isolated.contains(From) || m_Isolated.contains(To)))
+      return true;
+    const auto &Source = member(From).m_DataCentre;
+    const auto &Target = member(To).m_DataCentre;
+    return Source != Target &&
+           (m_Cut.contains(Source) || m_Cut.contains(Target));
+  }
+
 private:
   static constexpr TrueTime HeartbeatInterval = 200'000;
   static constexpr TrueTime PeerTimeout = 1'500'000;
@@ -202,19 +230,6 @@
     }
   };
 
-  bool isFrozen(std::size_t Node) const {
-    return m_Now < m_Nodes[Node].m_FrozenUntil;
-  }
-
-  bool isCut(std::size_t From, std::size_t To) const {
-    if (From != To && (m_Isolated.contains(From) || m_Isolated.contains(To)))
-      return true;
-    const auto &Source = member(From).m_DataCentre;
-    const auto &Target = member(To).m_DataCentre;
-    return Source != Target &&
-           (m_Cut.contains(Source) || m_Cut.contains(Target));
-  }
-
   void heartbeat() {
     for (std::size_t To = 0; To < size(); ++To) {
       if (!isUp(To) || isFrozen(To))
