--- a/src/schedule/EndpointTarget.cpp
+++ b/src/schedule/EndpointTarget.cpp
@@ -32,7 +32,9 @@
 
 EndpointTarget::EndpointTarget(Endpoint Announced, const WindowOptions &Window,
                                const HealthOptions &Health)
-    : m_Endpoint(std::move(Announced)), m_Window(Window), m_Health(Health) {}
+    : m_Health(Health), m_Window(Window), m_Endpoint(std::move(Announced)) {
+  noteReport();
+}
 
 void EndpointTarget::announce(const Endpoint &Announced,
                               std::uint32_t ShareCount, bool Cold) {
@@ -40,6 +42,7 @@
   m_ShareCount = ShareCount;
   m_OwnAtPreviousReport = m_OwnAtReport;
   m_OwnAtReport = m_Window.outstanding();
+  noteReport();
   updateCap();
   if (Cold) {
     m_Window.restart();
@@ -90,7 +93,7 @@
 }
 
 bool EndpointTarget::hasRoom(base::TimePoint Time) const {
-  if (!m_Endpoint.usable(Time))
+  if (Time >= m_UsableUntil)
     return false;
   switch (m_Health.state()) {
   case HealthState::Healthy:
@@ -103,15 +106,13 @@
   return false;
 }
 
-double EndpointTarget::load() const {
-  const double Reported = m_Endpoint.m_Running + m_Endpoint.m_Waiting;
+void EndpointTarget::noteReport() {
+  m_UsableUntil =
+      m_Endpoint.m_Leaving ? base::TimePoint() : m_Endpoint.m_LeaseEnd;
+  m_Slots = m_Endpoint.m_Slots == 0 ? DefaultSlots : m_Endpoint.m_Slots;
   // The report shows the load of one announcement ago.
-  const double Others = std::max(0.0, Reported - m_OwnAtPreviousReport);
-  return m_Window.outstanding() + Others;
-}
-
-double EndpointTarget::slots() const {
-  return m_Endpoint.m_Slots == 0 ? DefaultSlots : m_Endpoint.m_Slots;
+  const double Reported = m_Endpoint.m_Running + m_Endpoint.m_Waiting;
+  m_LoadOfOthers = std::max(0.0, Reported - m_OwnAtPreviousReport);
 }
 
 void EndpointTarget::updateCap() {
--- a/src/schedule/EndpointTarget.h
+++ b/src/schedule/EndpointTarget.h
@@ -61,26 +61,32 @@
 
   /// Calls that run or wait there: the own ones, and those of others by the
   /// last report, which lags.
-  double load() const;
+  double load() const { return m_Window.outstanding() + m_LoadOfOthers; }
 
   /// Calls that it runs at once.
-  double slots() const;
+  double slots() const { return m_Slots; }
 
   /// Share of an expected prefix that it still held, on average.
   double prefixHitShare() const { return m_PrefixHitShare; }
 
 private:
+  void noteReport();
   void updateCap();
 
-  Endpoint m_Endpoint;
-  EndpointWindow m_Window;
-  EndpointHealth m_Health;
+  // A routing decision reads these of each endpoint, so they stand together.
+  base::TimePoint m_UsableUntil; ///< Past when it is leaving.
+  double m_LoadOfOthers = 0.0;
+  double m_Slots = 0.0;
+  double m_PrefixHitShare = 1.0;
+  std::uint32_t m_Parked = 0;
   EndpointCosts m_Costs;
+  EndpointHealth m_Health;
+  EndpointWindow m_Window;
+
   std::uint32_t m_ShareCount = 1;
   std::uint32_t m_OwnAtReport = 0;
   std::uint32_t m_OwnAtPreviousReport = 0;
-  std::uint32_t m_Parked = 0;
-  double m_PrefixHitShare = 1.0;
+  Endpoint m_Endpoint;
 };
 
 } // namespace psp::schedule
--- a/src/schedule/EndpointWindow.cpp
+++ b/src/schedule/EndpointWindow.cpp
@@ -8,8 +8,8 @@
 namespace psp::schedule {
 
 EndpointWindow::EndpointWindow(const WindowOptions &Options)
-    : m_Options(Options), m_Limit(Options.m_InitialWindow),
-      m_Cap(Options.m_MaxWindow) {}
+    : m_Limit(Options.m_InitialWindow), m_Cap(Options.m_MaxWindow),
+      m_Options(Options) {}
 
 void EndpointWindow::setCap(double Cap) {
   m_Cap = Cap == 0.0 ? m_Options.m_MaxWindow : std::max(1.0, Cap);
@@ -53,10 +53,6 @@
   shrink();
 }
 
-std::uint32_t EndpointWindow::allowed() const {
-  return static_cast<std::uint32_t>(std::max(1.0, std::floor(m_Limit)));
-}
-
 void EndpointWindow::shrink() {
   m_SlowStart = false;
   // The answers of one window tell of the same congestion: shrink once.
--- a/src/schedule/EndpointWindow.h
+++ b/src/schedule/EndpointWindow.h
@@ -48,13 +48,16 @@
   void noteFailure();
 
   bool hasRoom() const { return m_Outstanding < allowed(); }
-  std::uint32_t allowed() const;
+  /// At least one call.
+  std::uint32_t allowed() const {
+    return m_Limit < 1.0 ? 1U : static_cast<std::uint32_t>(m_Limit);
+  }
   std::uint32_t outstanding() const { return m_Outstanding; }
 
 private:
   void shrink();
 
-  WindowOptions m_Options;
+  // What each routing decision reads comes first.
   double m_Limit;
   double m_Cap;
   bool m_SlowStart = true;
@@ -62,6 +65,7 @@
   std::uint32_t m_EndedSinceShrink = 0;
   double m_Mean = 0.0; ///< Seconds for each unit of work; zero: none yet.
   double m_Best = 0.0;
+  WindowOptions m_Options;
 };
 
 } // namespace psp::schedule
--- a/src/schedule/Scheduler.h
+++ b/src/schedule/Scheduler.h
@@ -179,6 +179,7 @@
   void serveParked(Route &Target, base::TimePoint Time);
   void serveQueue(Route &Target, base::TimePoint Time);
   void place(Route &Target, Call &Next, bool MayWait, base::TimePoint Time);
+  const EndpointTarget *knownTarget(const base::EndpointId &Endpoint) const;
   Choice choose(const Route &Target, const Call &Next, bool MayWait,
                 base::TimePoint Time);
   void dispatch(Call &Next, const Choice &Chosen, base::TimePoint Time);
--- a/src/schedule/SchedulerDispatch.cpp
+++ b/src/schedule/SchedulerDispatch.cpp
@@ -17,6 +17,9 @@
 /// Costs learned longer ago than this say nothing any more.
 constexpr double CostMemorySeconds = 30.0;
 
+/// How often the mean costs of a route are worked out again.
+constexpr base::Duration MeanCostsInterval = base::milliseconds(100);
+
 /// A call whose retry would go to the endpoint that failed it waits this long.
 constexpr base::Duration OtherEndpointDelay = base::milliseconds(50);
 
@@ -54,6 +57,13 @@
   return Sum;
 }
 
+void refreshMeanCosts(Route &Target, base::TimePoint Time) {
+  if (Time < Target.m_MeanCosts.m_LearnedAt + MeanCostsInterval)
+    return;
+  Target.m_MeanCosts = meanCosts(Target.targets());
+  Target.m_MeanCosts.m_LearnedAt = Time;
+}
+
 } // namespace
 
 std::vector<Dispatch> Scheduler::takeDispatches(base::TimePoint Time) {
@@ -67,7 +77,7 @@
       Each->advance(Time);
     Target.m_UseElsewhere =
         std::all_of(Target.m_Here.begin(), Target.m_Here.end(), isLeftOut);
-    Target.m_MeanCosts = meanCosts(Target.targets());
+    refreshMeanCosts(Target, Time);
     serveParked(Target, Time);
     serveQueue(Target, Time);
     refuseWithoutEndpoint(Target, Time);
@@ -114,6 +124,7 @@
   for (auto &[Service, Each] : m_Routes) {
     Each.m_Here.clear();
     Each.m_Elsewhere.clear();
+    Each.m_MeanCosts = {};
   }
   // An endpoint that has gone is kept while calls are in flight there, or
   // wait for it.
@@ -222,15 +233,24 @@
   }
 }
 
+const EndpointTarget *
+Scheduler::knownTarget(const base::EndpointId &Endpoint) const {
+  const auto Known = m_Targets.find(Endpoint);
+  return Known == m_Targets.end() ? nullptr : &Known->second;
+}
+
 Scheduler::Choice Scheduler::choose(const Route &Target, const Call &Next,
                                     bool MayWait, base::TimePoint Time) {
   const HeldPrefix *Held = m_Programs.heldPrefix(Next.m_Call.m_Program);
-  const bool AvoidLast =
-      !Next.m_FailedAt.empty() && Target.targets().size() > 1;
+  const EndpointTarget *Home =
+      Held == nullptr ? nullptr : knownTarget(Held->m_Endpoint);
+  const EndpointTarget *Avoided =
+      Next.m_FailedAt.empty() || Target.targets().size() == 1
+          ? nullptr
+          : knownTarget(Next.m_FailedAt);
   bool Anywhere = false;
   m_Candidates.clear();
   for (const EndpointTarget *Each : Target.targets()) {
-    const Endpoint &Announced = Each->endpoint();
     const EndpointCosts &Costs = Each->costs();
     const double Age =
         std::chrono::duration<double>(Time - Costs.m_LearnedAt).count();
@@ -242,9 +262,9 @@
             fadedCost(Costs.m_PerToken, Target.m_MeanCosts.m_PerToken, Age),
         .m_SecondsPerPromptToken = fadedCost(
             Costs.m_PerPromptToken, Target.m_MeanCosts.m_PerPromptToken, Age)};
-    if (AvoidLast && Announced.m_Id == Next.m_FailedAt)
+    if (Each == Avoided)
       Candidate.m_HasRoom = false;
-    else if (Held != nullptr && Held->m_Endpoint == Announced.m_Id &&
+    else if (Each == Home &&
              (Candidate.m_HasRoom || (MayWait && !isLeftOut(Each))))
       Candidate.m_HeldTokens = Held->m_Tokens * Each->prefixHitShare();
     const double Window = Each->window().allowed();
