--- a/src/schedule/Scheduler.h
+++ b/src/schedule/Scheduler.h
@@ -116,7 +116,7 @@
   const EndpointRegistry &endpoints() const { return m_Registry; }
 
   /// When takeDispatches() has something to do at the latest, if nothing else
-  /// happens.
+  /// happens. After it was called with some time, this is later than that.
   std::optional<base::TimePoint> nextEvent() const;
 
   std::size_t queuedCalls() const { return m_Queued; }
@@ -145,6 +145,7 @@
     base::TimePoint m_SentAt;
     std::optional<base::TimePoint> m_FirstByteAt;
     base::TimePoint m_WaitUntil; ///< Of a parked or delayed call.
+    bool m_WaitOver = false;     ///< Parked, but may go anywhere now.
     base::EndpointId m_Endpoint; ///< Parked for or in flight at.
     base::EndpointId m_FailedAt; ///< Empty: it has not failed yet.
   };
--- a/src/schedule/SchedulerDispatch.cpp
+++ b/src/schedule/SchedulerDispatch.cpp
@@ -96,8 +96,11 @@
   if (!m_Delayed.empty())
     Consider(m_Delayed.begin()->first);
   for (const auto &[Service, Each] : m_Routes) {
-    for (const CallNumber Parked : Each.m_Parked)
-      Consider(m_Calls.at(Parked).m_WaitUntil);
+    for (const CallNumber Parked : Each.m_Parked) {
+      const Call &Waiting = m_Calls.at(Parked);
+      if (!Waiting.m_WaitOver)
+        Consider(Waiting.m_WaitUntil);
+    }
     if (Each.m_Queue->size() == 0)
       continue;
     if (Each.m_EmptySince)
@@ -190,15 +193,15 @@
   for (const CallNumber Number : Waiting) {
     Call &Next = m_Calls.at(Number);
     EndpointTarget &Wanted = m_Targets.at(Next.m_Endpoint);
-    const bool Over = Time >= Next.m_WaitUntil || isLeftOut(&Wanted) ||
-                      !Wanted.endpoint().usable(Time);
-    if (!Over && !Wanted.hasRoom(Time))
+    Next.m_WaitOver = Next.m_WaitOver || Time >= Next.m_WaitUntil ||
+                      isLeftOut(&Wanted) || !Wanted.endpoint().usable(Time);
+    if (!Next.m_WaitOver && !Wanted.hasRoom(Time))
       continue;
     const bool Anywhere =
         std::any_of(Target.targets().begin(), Target.targets().end(),
                     [Time](const auto *Each) { return Each->hasRoom(Time); });
     if (!Anywhere)
-      return;
+      continue;
     std::erase(Target.m_Parked, Number);
     Wanted.unpark();
     place(Target, Next, false, Time);
@@ -320,6 +323,7 @@
                      base::TimePoint Time) {
   note(Next, Chosen, Time);
   Next.m_Phase = Phase::Parked;
+  Next.m_WaitOver = false;
   Next.m_Endpoint = Chosen.m_Target->endpoint().m_Id;
   // It waits no longer than computing the prefix elsewhere would take.
   const double Recompute =
--- a/tests/error/SchedulerRandomTest.cpp
+++ b/tests/error/SchedulerRandomTest.cpp
@@ -135,6 +135,10 @@
     }
     m_Scheduler.takeReleases();
     m_Scheduler.verify();
+    const auto Next = m_Scheduler.nextEvent();
+    if (Next) {
+      ASSERT_GT(*Next, at(m_Time)) << "a loop that waits for it would spin";
+    }
   }
 
   void step() {
