--- a/src/operators/OperatorHandler.cpp
+++ b/src/operators/OperatorHandler.cpp
@@ -12,6 +12,8 @@
 
 } // namespace
 
+std::string OperatorHandler::metrics() { refuseMethod("metrics"); }
+
 messages::Configuration OperatorHandler::configuration() {
   refuseMethod("configuration");
 }
--- a/src/operators/OperatorHandler.h
+++ b/src/operators/OperatorHandler.h
@@ -45,12 +45,12 @@
 
 /// A non-idempotent call that was sent and whose outcome is unknown.
 struct UnknownOrder {
-  base::OrganisationId m_Organisation;
-  base::ProgramId m_Program;
+  base::OrganisationId m_Organisation{};
+  base::ProgramId m_Program{};
   std::uint64_t m_Turn = 0;
-  std::string m_Service;
-  base::EndpointId m_Endpoint;
-  std::string m_IdempotencyKey;
+  std::string m_Service{};
+  base::EndpointId m_Endpoint{};
+  std::string m_IdempotencyKey{};
   base::WallTime m_Sent = 0;
 
   bool operator==(const UnknownOrder &) const = default;
@@ -82,6 +82,8 @@
   virtual std::string status() = 0;
   /// The whole state as a bounded JSON object with stable names.
   virtual std::string dump() = 0;
+  /// Prometheus text, the same as /metrics.
+  virtual std::string metrics();
   /// The configuration in force at this process.
   virtual messages::Configuration configuration();
   virtual std::vector<messages::Key> keys();
--- a/src/operators/OperatorServer.h
+++ b/src/operators/OperatorServer.h
@@ -30,7 +30,8 @@
 /// \endcode
 class OperatorServer {
 public:
-  OperatorServer(OperatorServerOptions Options, OperatorHandler &Handler);
+  OperatorServer(const OperatorServerOptions &Options,
+                 OperatorHandler &Handler);
   ~OperatorServer();
   OperatorServer(const OperatorServer &) = delete;
   OperatorServer &operator=(const OperatorServer &) = delete;
--- a/src/records/ProgramHistory.h
+++ b/src/records/ProgramHistory.h
@@ -17,7 +17,7 @@
 
 /// The entries of one program in the order of their index.
 struct ProgramHistory {
-  base::ProgramId m_Program;
+  base::ProgramId m_Program{};
   std::vector<messages::ProgramEntry> m_Entries;
 };
 
@@ -27,8 +27,8 @@
 /// Which records to return. Empty identifiers match everything.
 struct RecordFilter {
   RecordKind m_Kind = RecordKind::Program;
-  base::OrganisationId m_Organisation;
-  base::ProgramId m_Program;
+  base::OrganisationId m_Organisation{};
+  base::ProgramId m_Program{};
   base::WallTime m_From = 0; ///< Inclusive.
   base::WallTime m_Until = std::numeric_limits<base::WallTime>::max();
   std::size_t m_MaxRecords = 1000; ///< The answer says when it was cut.
--- /dev/null
+++ b/tests/error/DataFolderTest.cpp
@@ -0,0 +1,125 @@
+/// \file
+/// The offline check of a data folder finds a changed byte wherever it is, a
+/// missing file, and a history that was rewritten with valid checksums. It
+/// changes nothing itself.
+
+#include "base/Error.h"
+#include "base/Hash.h"
+#include "records/VerifyFolder.h"
+#include "storage/File.h"
+#include "storage/FileJournal.h"
+#include "storage/FolderIdentity.h"
+#include "support/SampleHistory.h"
+#include "support/TemporaryFolder.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+
+namespace psp::records {
+namespace {
+
+namespace fs = std::filesystem;
+
+class DataFolderTest : public ::testing::Test {
+protected:
+  fs::path root() const { return m_Temporary.path() / "state"; }
+
+  /// Writes \p Histories as a ledger does, one record for each entry.
+  void write(const std::vector<ProgramHistory> &Histories) {
+    storage::openFolderIdentity(root(), base::InstanceId("a-ledger"), 1);
+    storage::FileJournal Journal(
+        {.m_Folder = root() / "programs", .m_SegmentBytes = 400},
+        [](std::string_view) {});
+    messages::ReplicaRecord First;
+    First.set_generation(std::string(32, 'a'));
+    Journal.append(First.SerializeAsString());
+    for (const ProgramHistory &Each : Histories) {
+      for (const auto &Entry : Each.m_Entries) {
+        messages::ReplicaRecord Record;
+        Record.set_program(Each.m_Program.str());
+        Record.set_keep_through(Entry.index() - 1);
+        *Record.add_entries() = Entry;
+        Journal.append(Record.SerializeAsString());
+        Journal.sync();
+      }
+    }
+  }
+
+  std::vector<fs::path> files() const {
+    std::vector<fs::path> Found;
+    for (const auto &Entry : fs::recursive_directory_iterator(root())) {
+      if (Entry.is_regular_file() && Entry.file_size() > 0)
+        Found.push_back(Entry.path());
+    }
+    return Found;
+  }
+  static void put(const fs::path &Path, const std::string &Bytes) {
+    std::ofstream(Path, std::ios::binary | std::ios::trunc) << Bytes;
+  }
+
+  tests::TemporaryFolder m_Temporary;
+};
+
+TEST_F(DataFolderTest, AWholeFolderIsIntact) {
+  write({tests::sampleHistory("a.01"), tests::sampleHistory("a.02")});
+  const FolderContent Content = readFolder(root().string());
+  EXPECT_TRUE(Content.m_Report.isIntact());
+  EXPECT_EQ(Content.m_Report.m_Records, 13U);
+  ASSERT_EQ(Content.m_Histories.size(), 2U);
+  EXPECT_EQ(Content.m_Histories[1].m_Entries.size(), 6U);
+  EXPECT_EQ(Content.m_Report.m_Programs[0].m_HeadHash,
+            base::toHex(
+                program::contentHash(Content.m_Histories[0].m_Entries.back())));
+}
+
+TEST_F(DataFolderTest, EveryChangedByteIsFound) {
+  write({tests::sampleHistory("a.01")});
+  std::size_t Bytes = 0;
+  ASSERT_GE(files().size(), 3U);
+  for (const fs::path &Path : files()) {
+    SCOPED_TRACE(Path.string());
+    const std::string Good = storage::readFile(Path);
+    for (std::size_t I = 0; I < Good.size(); ++I) {
+      std::string Damaged = Good;
+      Damaged[I] = static_cast<char>(Damaged[I] ^ 1);
+      put(Path, Damaged);
+      EXPECT_FALSE(verifyFolder(root().string()).isIntact()) << I;
+      EXPECT_EQ(storage::readFile(Path), Damaged) << "the check wrote";
+      ++Bytes;
+    }
+    put(Path, Good);
+  }
+  EXPECT_GT(Bytes, 500U);
+  EXPECT_TRUE(verifyFolder(root().string()).isIntact());
+}
+
+TEST_F(DataFolderTest, AMissingFileOrTailIsFound) {
+  write({tests::sampleHistory("a.01")});
+  for (const fs::path &Path : files()) {
+    SCOPED_TRACE(Path.string());
+    const std::string Good = storage::readFile(Path);
+    put(Path, Good.substr(0, Good.size() - 1));
+    EXPECT_FALSE(verifyFolder(root().string()).isIntact());
+    put(Path, Good);
+  }
+}
+
+TEST_F(DataFolderTest, ARewrittenHistoryIsFoundByItsChain) {
+  ProgramHistory Forged = tests::sampleHistory("a.01");
+  Forged.m_Entries[2].mutable_turn_finished()->set_answer("another answer");
+  write({Forged});
+  const FolderReport Report = verifyFolder(root().string());
+  EXPECT_TRUE(Report.m_Faults.empty());
+  ASSERT_EQ(Report.m_Programs.size(), 1U);
+  EXPECT_NE(Report.m_Programs[0].m_Fault.find("entry 4"), std::string::npos);
+  EXPECT_FALSE(Report.isIntact());
+}
+
+TEST_F(DataFolderTest, AFolderWithoutJournalIsRefused) {
+  EXPECT_THROW(verifyFolder(m_Temporary.path().string()), base::UserError);
+  EXPECT_THROW(verifyFolder("/no/such/folder"), base::UserError);
+}
+
+} // namespace
+} // namespace psp::records
--- /dev/null
+++ b/tests/support/SampleHistory.h
@@ -0,0 +1,89 @@
+/// \file
+/// A program's history with a turn, an order and a whole hash chain.
+
+#ifndef PSP_TESTS_SUPPORT_SAMPLEHISTORY_H
+#define PSP_TESTS_SUPPORT_SAMPLEHISTORY_H
+
+#include "program/HashChain.h"
+#include "records/ProgramHistory.h"
+
+#include <string>
+
+namespace psp::tests {
+
+/// Adds entries with their digests; each is a second later than the last.
+class HistoryMaker {
+public:
+  explicit HistoryMaker(const std::string &Program) {
+    m_History.m_Program = base::ProgramId(Program);
+  }
+
+  messages::ProgramEntry &add() {
+    m_History.m_Entries.emplace_back();
+    return m_History.m_Entries.back();
+  }
+
+  HistoryMaker &create(const std::string &Organisation) {
+    add().mutable_created()->set_organisation(Organisation);
+    return *this;
+  }
+  HistoryMaker &start(std::uint64_t Turn, const std::string &Service) {
+    auto &Start = *add().mutable_turn_started();
+    Start.set_key_id("k-1");
+    Start.mutable_request()->set_turn(Turn);
+    Start.mutable_request()->set_service(Service);
+    Start.mutable_request()->set_body("question " + std::to_string(Turn));
+    return *this;
+  }
+  HistoryMaker &claim(std::uint64_t Turn, const std::string &Endpoint) {
+    auto &Claim = *add().mutable_call_claimed();
+    Claim.set_turn(Turn);
+    Claim.set_endpoint(Endpoint);
+    return *this;
+  }
+  HistoryMaker &finish(std::uint64_t Turn, const std::string &Endpoint,
+                       const std::string &ErrorKind = "") {
+    auto &Finish = *add().mutable_turn_finished();
+    Finish.set_turn(Turn);
+    Finish.set_endpoint(Endpoint);
+    Finish.set_answer("answer " + std::to_string(Turn));
+    Finish.mutable_outcome()->set_error_kind(ErrorKind);
+    return *this;
+  }
+
+  /// The history with indexes, times and digests filled in.
+  records::ProgramHistory make(std::uint32_t SchemaVersion = 1) const {
+    constexpr std::uint64_t SecondMicros = 1000000;
+    records::ProgramHistory Result = m_History;
+    std::string Previous;
+    std::uint64_t Index = 0;
+    for (auto &Entry : Result.m_Entries) {
+      Entry.set_index(++Index);
+      Entry.set_wall_time_us(Index * SecondMicros);
+      Entry.set_durability("quorum");
+      Entry.set_schema_version(SchemaVersion);
+      Entry.set_previous_hash(Previous);
+      Previous = program::contentHash(Entry);
+    }
+    return Result;
+  }
+
+private:
+  records::ProgramHistory m_History;
+};
+
+/// An answered turn and an order whose outcome is unknown.
+inline records::ProgramHistory sampleHistory(const std::string &Program) {
+  return HistoryMaker(Program)
+      .create("north")
+      .start(1, "advice")
+      .finish(1, "model-1")
+      .start(2, "slurry-order")
+      .claim(2, "orders-1")
+      .finish(2, "orders-1", "outcome-unknown")
+      .make();
+}
+
+} // namespace psp::tests
+
+#endif
