--- /dev/null
+++ b/src/entry/EndpointOrders.h
@@ -0,0 +1,86 @@
+/// \file
+/// Operators' orders to endpoints (load a model, change a role). Each carries
+/// a fencing number from the control log, so that a later order wins.
+///
+/// Some endpoints ignore the number. For those, time protects: an order may be
+/// sent only within SendWindow of the moment at which its number was *asked
+/// for*, by the sender's own clock, and the sender of a later order waits
+/// until the window and the longest write of every earlier one have passed.
+
+#ifndef PSP_ENTRY_ENDPOINTORDERS_H
+#define PSP_ENTRY_ENDPOINTORDERS_H
+
+#include "base/Ids.h"
+#include "base/Time.h"
+#include "messages/EndpointMessages.h"
+#include "schedule/EndpointRegistry.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace psp::entry {
+
+/// An order as an operator gives it.
+struct EndpointOrder {
+  base::EndpointId m_Endpoint;
+  std::string m_Order; ///< load_model, load_adapter or set_role.
+  std::string m_Name;
+  std::string m_Version;
+
+  auto operator<=>(const EndpointOrder &) const = default;
+};
+
+struct EndpointOrderOutcome {
+  std::uint64_t m_Ticket = 0;
+  bool m_Done = false;
+  std::uint64_t m_FencingNumber = 0;
+  std::string m_Detail;
+
+  auto operator<=>(const EndpointOrderOutcome &) const = default;
+};
+
+class EndpointOrders {
+public:
+  static constexpr base::Duration SendWindow = base::seconds(2);
+  static constexpr base::Duration LongestWrite = base::seconds(2);
+
+  EndpointOrders(const schedule::EndpointRegistry &Endpoints,
+                 messages::ExchangeNumber &NextExchange);
+
+  /// The caller asks the control log for a number right after this.
+  void start(std::uint64_t Ticket, EndpointOrder Order, base::TimePoint Now);
+  /// The log has answered; zero: it gave no number.
+  void onNumber(std::uint64_t Ticket, std::uint64_t Number,
+                base::TimePoint Now);
+  void onTick(base::TimePoint Now);
+  /// Returns true when \p Event belongs to an order.
+  bool onEvent(const messages::EndpointEvent &Event);
+  std::vector<messages::EndpointCommand> takeCommands();
+  std::vector<EndpointOrderOutcome> takeOutcomes();
+
+private:
+  struct Pending {
+    EndpointOrder m_Order;
+    base::TimePoint m_Asked;
+    std::uint64_t m_Number = 0;
+    bool m_Numbered = false;
+    bool m_Sent = false;
+    base::TimePoint m_SendAt;
+    messages::ExchangeNumber m_Exchange = 0;
+    unsigned m_Status = 0;
+  };
+
+  void send(std::uint64_t Ticket, Pending &Next, base::TimePoint Now);
+  void settle(std::uint64_t Ticket, bool Done, const std::string &Detail);
+
+  const schedule::EndpointRegistry &m_Endpoints;
+  messages::ExchangeNumber &m_NextExchange;
+  std::map<std::uint64_t, Pending> m_Pending;
+  std::vector<messages::EndpointCommand> m_Commands;
+  std::vector<EndpointOrderOutcome> m_Outcomes;
+};
+
+} // namespace psp::entry
+
+#endif
--- a/src/entry/EntryCore.cpp
+++ b/src/entry/EntryCore.cpp
@@ -33,6 +33,9 @@
 constexpr double RetryShare = 0.1;
 constexpr std::size_t RandomProgramBytes = 16;
 
+/// Submissions from here on ask for the numbers of orders to endpoints.
+constexpr std::uint64_t FirstOrderTicket = 1ULL << 32U;
+
 std::vector<InstanceId> ledgers(const settings::ProcessSettings &Process,
                                 bool LocalOnly) {
   std::vector<InstanceId> Found;
@@ -111,7 +114,9 @@
       m_Edge(*this, m_Options.m_Incarnation),
       m_Owned({.m_Self = m_Self, .m_FirstCall = 1}, *this, m_Learner.state(),
               m_Programs, m_Queue),
-      m_Submissions(ledgers(m_Options.m_Settings.m_Process, false)) {}
+      m_Submissions(ledgers(m_Options.m_Settings.m_Process, false)),
+      m_Orders(m_Queue.endpoints(), m_Owned.exchangeNumbers()),
+      m_Adoption(m_Self, *this, m_Programs) {}
 
 std::optional<Owner> EntryCore::ownerOf(const base::ProgramId &Program,
                                         TimePoint Now) const {
@@ -299,7 +304,8 @@
 }
 
 void EntryCore::onEndpoint(const messages::EndpointEvent &Event, Now Time) {
-  m_Owned.onEndpoint(Event, Time, m_Out);
+  if (!m_Orders.onEvent(Event))
+    m_Owned.onEndpoint(Event, Time, m_Out);
   settle(Time);
 }
 
@@ -357,14 +363,84 @@
   const auto Here = m_Members.activeEntries(m_DataCentre, Moment);
   const auto Share = std::max<std::size_t>(Here.size(), 1);
   m_Queue.setShareCount(static_cast<std::uint32_t>(Share), Moment);
+  watchLedgers(Reachable);
   m_Programs.onTick(Time, m_Out);
+  if (m_Learner.hasState() && !m_Draining)
+    m_Adoption.onTick(ownershipView(Moment), Time, m_Out);
   m_Edge.onTick(Moment, m_Out);
   m_Owned.onTick(Time, m_Out);
   m_Submissions.onTick(Moment, m_Out);
+  takeOrderNumbers(Time);
+  m_Orders.onTick(Moment);
   m_Withdrawn.onTick(Moment, control(), Reachable, m_Out);
   settle(Time);
 }
 
+OwnershipView EntryCore::ownershipView(TimePoint Now) const {
+  OwnershipView View;
+  View.m_Entries = m_Members.activeEntries(m_DataCentre, Now);
+  for (const DataCentreId &Home : m_Members.dataCentres()) {
+    if (control().servedBy(Home) == m_DataCentre)
+      View.m_Homes.push_back(Home);
+  }
+  const settings::ProcessSettings &Process = m_Options.m_Settings.m_Process;
+  for (const bool LocalOnly : {true, false}) {
+    for (const InstanceId &Ledger : ledgers(Process, LocalOnly)) {
+      if (m_Members.isReachable(Ledger, Now))
+        View.m_Ledgers.push_back(Ledger);
+    }
+  }
+  return View;
+}
+
+/// Tells the programs whether a majority of the ledgers can be reached.
+void EntryCore::watchLedgers(const std::vector<InstanceId> &Reachable) {
+  const auto All = ledgers(m_Options.m_Settings.m_Process, false);
+  const auto Count =
+      std::count_if(All.begin(), All.end(), [&](const InstanceId &Ledger) {
+        return std::find(Reachable.begin(), Reachable.end(), Ledger) !=
+               Reachable.end();
+      });
+  const bool HasMajority = 2 * static_cast<std::size_t>(Count) > All.size();
+  m_Programs.setCutOff(!HasMajority,
+                       control().configuration().accept_local_turns());
+}
+
+/// Sorts the answers of the control log: those that carry the number of an
+/// order to an endpoint from those that operators wait for.
+void EntryCore::takeOrderNumbers(Now Time) {
+  for (DecidedSubmission &Decided : m_Submissions.takeDecided()) {
+    if (Decided.m_Ticket < FirstOrderTicket) {
+      m_Decided.push_back(std::move(Decided));
+      continue;
+    }
+    const std::uint64_t Number =
+        Decided.m_Result.accepted() ? Decided.m_Result.number() : 0;
+    m_Orders.onNumber(Decided.m_Ticket - FirstOrderTicket, Number,
+                      Time.m_Monotonic);
+  }
+}
+
+void EntryCore::orderEndpoint(std::uint64_t Ticket, const EndpointOrder &Order,
+                              const std::string &Operator, Now Time) {
+  m_Orders.start(Ticket, Order, Time.m_Monotonic);
+  messages::ControlCommand Command;
+  Command.set_request_id(base::toHex(base::randomBytes(RandomProgramBytes)));
+  Command.set_operator_name(Operator);
+  Command.mutable_next_fencing_number()->set_endpoint(Order.m_Endpoint.str());
+  m_Submissions.start(Ticket + FirstOrderTicket, Command, Time.m_Monotonic,
+                      m_Out);
+  settle(Time);
+}
+
+void EntryCore::resolve(const base::ProgramId &Program, std::uint64_t Turn,
+                        const std::string &Finding, const std::string &Operator,
+                        Now Time) {
+  m_Programs.resolve(m_Owned.nextNumber(), Program, Turn, Finding, Operator,
+                     Time, m_Out);
+  settle(Time);
+}
+
 /// Acts on what the control log or a peer has told since the last time.
 void EntryCore::learn(Now Time) {
   m_LearnedIndex = control().appliedIndex();
@@ -436,10 +512,14 @@
   auto Replies = std::exchange(m_Replies, {});
   for (auto &Reply : m_Edge.takeReplies())
     Replies.push_back(std::move(Reply));
+  auto Commands = m_Owned.takeCommands();
+  for (auto &Command : m_Orders.takeCommands())
+    Commands.push_back(std::move(Command));
   return {.m_Messages = std::exchange(m_Outgoing, {}),
           .m_Replies = std::move(Replies),
-          .m_Commands = m_Owned.takeCommands(),
-          .m_Decided = m_Submissions.takeDecided()};
+          .m_Commands = std::move(Commands),
+          .m_Decided = std::exchange(m_Decided, {}),
+          .m_Orders = m_Orders.takeOutcomes()};
 }
 
 } // namespace psp::entry
--- a/src/entry/EntryCore.h
+++ b/src/entry/EntryCore.h
@@ -7,7 +7,9 @@
 #define PSP_ENTRY_ENTRYCORE_H
 
 #include "control/Learner.h"
+#include "entry/Adoption.h"
 #include "entry/EdgeCalls.h"
+#include "entry/EndpointOrders.h"
 #include "entry/OwnedCalls.h"
 #include "entry/OwnerDirectory.h"
 #include "entry/Route.h"
@@ -43,6 +45,7 @@
   std::vector<messages::CallerReply> m_Replies;
   std::vector<messages::EndpointCommand> m_Commands;
   std::vector<DecidedSubmission> m_Decided;
+  std::vector<EndpointOrderOutcome> m_Orders;
 };
 
 class EntryCore final : public OwnerDirectory {
@@ -66,6 +69,15 @@
   void submit(std::uint64_t Ticket, const messages::ControlCommand &Command,
               base::Now Time);
 
+  /// Gives an endpoint an order; the outcome comes with takeOutput().
+  void orderEndpoint(std::uint64_t Ticket, const EndpointOrder &Order,
+                     const std::string &Operator, base::Now Time);
+
+  /// Records an operator's finding on a call whose outcome is unknown.
+  void resolve(const base::ProgramId &Program, std::uint64_t Turn,
+               const std::string &Finding, const std::string &Operator,
+               base::Now Time);
+
   EntryOutput takeOutput();
 
   /// Queries.
@@ -80,6 +92,9 @@
   std::string metrics() const;
   std::vector<messages::EndpointState> endpointStates(base::Now Time) const;
   const control::ControlState &control() const { return m_Learner.state(); }
+  std::vector<program::UnknownOutcome> unknownOutcomes() const {
+    return m_Programs.unknownOutcomes();
+  }
   const membership::Membership &members() const { return m_Members; }
   const schedule::EndpointRegistry &endpoints() const {
     return m_Queue.endpoints();
@@ -97,6 +112,9 @@
   void announce(messages::EndpointState State, base::TimePoint Now);
   void answer(messages::RequestNumber Request, int Status, std::string Body);
   void learn(base::Now Time);
+  OwnershipView ownershipView(base::TimePoint Now) const;
+  void watchLedgers(const std::vector<base::InstanceId> &Reachable);
+  void takeOrderNumbers(base::Now Time);
   void dispatchBody(const base::InstanceId &From,
                     const messages::Envelope &Message, base::Now Time);
   /// Ends every command: acts on what was decided and delivers messages that
@@ -115,6 +133,8 @@
   OwnedCalls m_Owned;
   WithdrawnKeys m_Withdrawn;
   Submissions m_Submissions;
+  EndpointOrders m_Orders;
+  Adoption m_Adoption;
   messages::Outbox m_Out;
   std::vector<messages::Outgoing> m_Outgoing;
   std::vector<messages::CallerReply> m_Replies;
@@ -122,6 +142,7 @@
   std::uint64_t m_NextTicket = 1;
   std::uint64_t m_NextProgram = 1;
   std::uint64_t m_LearnedIndex = 0;
+  std::vector<DecidedSubmission> m_Decided;
   std::uint64_t m_MalformedMessages = 0;
   bool m_Draining = false;
 };
--- a/src/entry/MemoryReleases.cpp
+++ b/src/entry/MemoryReleases.cpp
@@ -15,18 +15,6 @@
 constexpr base::Duration ReleaseTimeout = base::seconds(2);
 constexpr unsigned FirstErrorStatus = 400;
 
-/// The number of the exchange that \p Event is about.
-messages::ExchangeNumber exchangeOf(const messages::EndpointEvent &Event) {
-  return std::visit(
-      [](const auto &Value) -> messages::ExchangeNumber {
-        if constexpr (requires { Value.m_Exchange; })
-          return Value.m_Exchange;
-        else
-          return 0;
-      },
-      Event);
-}
-
 } // namespace
 
 MemoryReleases::MemoryReleases(const schedule::EndpointRegistry &Endpoints,
@@ -72,7 +60,7 @@
 
 bool MemoryReleases::onEvent(const messages::EndpointEvent &Event,
                              TimePoint Now) {
-  const auto Found = m_Sent.find(exchangeOf(Event));
+  const auto Found = m_Sent.find(messages::exchangeOf(Event));
   if (Found == m_Sent.end())
     return false;
   if (const auto *Head = std::get_if<ExchangeHead>(&Event))
--- a/src/entry/OwnedCalls.h
+++ b/src/entry/OwnedCalls.h
@@ -62,6 +62,10 @@
   void advance(base::Now Time, messages::Outbox &Out);
   void onTick(base::Now Time, messages::Outbox &Out);
 
+  /// Takes up a caller's number that is drawn outside, for operators.
+  std::uint64_t nextNumber() { return m_NextCall++; }
+  messages::ExchangeNumber &exchangeNumbers() { return m_NextExchange; }
+
   /// From now on further calls are refused; those under way are finished.
   void drain() { m_Draining = true; }
 
--- a/src/messages/EndpointMessages.h
+++ b/src/messages/EndpointMessages.h
@@ -76,6 +76,18 @@
 using EndpointEvent = std::variant<std::monostate, ExchangeHead, ExchangeData,
                                    ExchangeEnd, ExchangeFailed>;
 
+/// The number of the exchange that \p Event is about; zero for none.
+inline ExchangeNumber exchangeOf(const EndpointEvent &Event) {
+  return std::visit(
+      [](const auto &Value) -> ExchangeNumber {
+        if constexpr (requires { Value.m_Exchange; })
+          return Value.m_Exchange;
+        else
+          return 0;
+      },
+      Event);
+}
+
 } // namespace psp::messages
 
 #endif
--- a/src/programs/ctl/Main.cpp
+++ b/src/programs/ctl/Main.cpp
@@ -32,7 +32,7 @@
 namespace google {
 // NOLINTNEXTLINE(readability-identifier-naming)
 extern void (*gflags_exitfunc)(int);
-}
+} // namespace google
 
 namespace {
 
--- a/src/programs/entry/EntryProcess.cpp
+++ b/src/programs/entry/EntryProcess.cpp
@@ -29,9 +29,24 @@
 constexpr base::Duration TickInterval = base::milliseconds(5);
 constexpr base::Duration OperatorWait = base::seconds(5);
 
+/// An order may have to wait until earlier ones can't arrive any more.
+constexpr base::Duration OrderWait = base::seconds(12);
+
 /// After the last call, for the last bytes to reach callers and peers.
 constexpr base::Duration LingerAfterDrain = base::milliseconds(300);
 
+std::string orderName(operators::EndpointAction Action) {
+  switch (Action) {
+  case operators::EndpointAction::LoadModel:
+    return "load_model";
+  case operators::EndpointAction::LoadAdapter:
+    return "load_adapter";
+  case operators::EndpointAction::ChangeRole:
+    return "set_role";
+  }
+  return {};
+}
+
 EntryCoreOptions coreOptions(const EntrySettings &Settings) {
   const Now Start = readClocks();
   const std::string Seed =
@@ -63,6 +78,14 @@
   void withdrawKey(const operators::OperatorCall &Call,
                    const base::KeyId &Key) override;
 
+  std::vector<operators::UnknownOrder> unknownOrders() override;
+  operators::EndpointOrderResult
+  orderEndpoint(const operators::OperatorCall &Call,
+                const operators::EndpointOrder &Order) override;
+  void resolveOrder(const operators::OperatorCall &Call,
+                    const operators::OrderResolution &Resolution) override;
+  std::string metrics() override;
+
   template <typename Result, typename Query> Result ask(Query Question) {
     return m_Tasks.call<Result>(
         [this, Question](std::shared_ptr<std::promise<Result>> Promise) {
@@ -85,6 +108,9 @@
   std::map<std::uint64_t,
            std::shared_ptr<std::promise<messages::ControlResult>>>
       m_Submissions;
+  std::map<std::uint64_t,
+           std::shared_ptr<std::promise<operators::EndpointOrderResult>>>
+      m_Orders;
   std::uint64_t m_NextTicket = 1;
   operators::OperatorServer m_Operators;
 };
@@ -158,6 +184,15 @@
     Found->second->set_value(Decided.m_Result);
     m_Submissions.erase(Found);
   }
+  for (const EndpointOrderOutcome &Outcome : Output.m_Orders) {
+    const auto Found = m_Orders.find(Outcome.m_Ticket);
+    if (Found == m_Orders.end())
+      continue;
+    Found->second->set_value({.m_Done = Outcome.m_Done,
+                              .m_FencingNumber = Outcome.m_FencingNumber,
+                              .m_Detail = Outcome.m_Detail});
+    m_Orders.erase(Found);
+  }
   m_Peers.flush();
   m_Callers.flush();
   m_Endpoints.flush();
@@ -223,6 +258,54 @@
       OperatorWait);
 }
 
+std::string EntryProcess::Impl::metrics() {
+  return ask<std::string>([](EntryCore &Core) { return Core.metrics(); });
+}
+
+std::vector<operators::UnknownOrder> EntryProcess::Impl::unknownOrders() {
+  const auto Outcomes = ask<std::vector<program::UnknownOutcome>>(
+      [](EntryCore &Core) { return Core.unknownOutcomes(); });
+  std::vector<operators::UnknownOrder> Orders;
+  for (const program::UnknownOutcome &Outcome : Outcomes) {
+    Orders.push_back({.m_Organisation = Outcome.m_Organisation,
+                      .m_Program = Outcome.m_Program,
+                      .m_Turn = Outcome.m_Turn,
+                      .m_Service = Outcome.m_Service,
+                      .m_Endpoint = Outcome.m_Endpoint,
+                      .m_IdempotencyKey = Outcome.m_IdempotencyKey});
+  }
+  return Orders;
+}
+
+operators::EndpointOrderResult
+EntryProcess::Impl::orderEndpoint(const operators::OperatorCall &Call,
+                                  const operators::EndpointOrder &Order) {
+  using Result = operators::EndpointOrderResult;
+  const EndpointOrder Asked = {.m_Endpoint = Order.m_Endpoint,
+                               .m_Order = orderName(Order.m_Action),
+                               .m_Name = Order.m_Name,
+                               .m_Version = Order.m_Version};
+  return m_Tasks.call<Result>(
+      [this, Asked,
+       Name = Call.m_Operator](std::shared_ptr<std::promise<Result>> Promise) {
+        const std::uint64_t Ticket = m_NextTicket++;
+        m_Orders[Ticket] = std::move(Promise);
+        m_Core.orderEndpoint(Ticket, Asked, Name, readClocks());
+      },
+      OrderWait);
+}
+
+void EntryProcess::Impl::resolveOrder(
+    const operators::OperatorCall &Call,
+    const operators::OrderResolution &Resolution) {
+  const bool IsDone = Resolution.m_Finding == operators::OrderFinding::Done;
+  ask<bool>([Resolution, IsDone, Name = Call.m_Operator](EntryCore &Core) {
+    Core.resolve(Resolution.m_Program, Resolution.m_Turn,
+                 IsDone ? "done" : "not-done", Name, readClocks());
+    return true;
+  });
+}
+
 void EntryProcess::Impl::withdrawKey(const operators::OperatorCall &,
                                      const base::KeyId &Key) {
   ask<bool>([Key](EntryCore &Core) {
--- a/src/programs/ledger/LedgerProcess.cpp
+++ b/src/programs/ledger/LedgerProcess.cpp
@@ -60,6 +60,9 @@
   submit(const operators::OperatorCall &Call,
          const messages::ControlCommand &Command) override;
 
+  std::vector<records::ProgramHistory>
+  histories(const records::RecordFilter &Filter) override;
+
   template <typename Result, typename Query> Result ask(Query Question) {
     return m_Tasks.call<Result>(
         [this, Question](std::shared_ptr<std::promise<Result>> Promise) {
@@ -223,6 +226,23 @@
   });
 }
 
+std::vector<records::ProgramHistory>
+LedgerProcess::Impl::histories(const records::RecordFilter &Filter) {
+  return ask<std::vector<records::ProgramHistory>>([Filter](LedgerCore &Core) {
+    std::vector<records::ProgramHistory> Found;
+    for (const auto &[Program, Held] : Core.programs().programs()) {
+      if (Found.size() >= Filter.m_MaxRecords)
+        break;
+      const bool Wanted =
+          Filter.m_Program.empty() || Filter.m_Program.str() == Program;
+      if (Wanted && !Held.m_Entries.empty())
+        Found.push_back({.m_Program = base::ProgramId(Program),
+                         .m_Entries = Held.m_Entries});
+    }
+    return Found;
+  });
+}
+
 messages::ControlResult
 LedgerProcess::Impl::submit(const operators::OperatorCall &,
                             const messages::ControlCommand &Command) {
