--- a/tests/correctness/ControlLogRandomTest.cpp
+++ b/tests/correctness/ControlLogRandomTest.cpp
@@ -33,13 +33,15 @@
               << m_Total.m_Committed << " committed, " << m_Total.m_Terms
               << " terms, " << m_Total.m_Answers << " answers, "
               << m_Total.m_Resends << " resends, " << m_Total.m_Crashes
-              << " crashes, " << m_Total.m_Wipes << " wipes, " << m_Total.m_Cuts
-              << " cuts, " << m_Total.m_Freezes << " freezes, "
-              << m_Total.m_Checkpoints << " checkpoints\n";
+              << " crashes, " << m_Total.m_PowerLosses << " power losses, "
+              << m_Total.m_Wipes << " wipes, " << m_Total.m_Cuts << " cuts, "
+              << m_Total.m_Freezes << " freezes, " << m_Total.m_Checkpoints
+              << " checkpoints\n";
   }
 
   void add(const SimulationCounts &Counts) {
     m_Total.m_Crashes += Counts.m_Crashes;
+    m_Total.m_PowerLosses += Counts.m_PowerLosses;
     m_Total.m_Wipes += Counts.m_Wipes;
     m_Total.m_Cuts += Counts.m_Cuts;
     m_Total.m_Freezes += Counts.m_Freezes;
--- a/tests/support/ControlFaults.cpp
+++ b/tests/support/ControlFaults.cpp
@@ -58,6 +58,24 @@
   return m_IsFounded && Without + 1 <= (m_VoterIds.size() - 1) / 2;
 }
 
+void ControlSimulation::restartLater(Node &Each) {
+  at(between(1000, 1500000), [this, &Each] { boot(Each); });
+}
+
+/// Crashes several nodes in the middle of a sync.
+void ControlSimulation::losePower() {
+  if (m_IsHealed)
+    return;
+  ++m_Counts.m_PowerLosses;
+  for (auto &Each : m_Nodes) {
+    if ((!Each->m_Voter && !Each->m_Learner) || chance(0.4))
+      continue;
+    crash(*Each);
+    ++m_Counts.m_Crashes;
+    restartLater(*Each);
+  }
+}
+
 void ControlSimulation::injectFault() {
   if (m_IsHealed)
     return;
@@ -75,7 +93,7 @@
       Each.m_Journal.wipe();
       ++m_Counts.m_Wipes;
     }
-    at(between(1000, 1500000), [this, &Each] { boot(Each); });
+    restartLater(Each);
     return;
   }
   case 2:
--- a/tests/support/ControlSimulation.cpp
+++ b/tests/support/ControlSimulation.cpp
@@ -80,8 +80,12 @@
     handle(Each,
            [&](Node &Self, Outbox &) { Self.m_Voter->start(clockOf(Self)); });
   } else {
+    // The last learner may also be fed by the first one.
+    std::vector<InstanceId> Sources = m_VoterIds;
+    if (Index > m_VoterIds.size() && Index + 1 == m_Nodes.size())
+      Sources.push_back(m_Nodes[m_VoterIds.size()]->m_Id);
     Each.m_Learner = std::make_unique<control::Learner>(
-        control::LearnerOptions{.m_Self = Each.m_Id, .m_Ledgers = m_VoterIds});
+        control::LearnerOptions{.m_Self = Each.m_Id, .m_Ledgers = Sources});
   }
   std::uint64_t Incarnation = Each.m_Incarnation;
   at(between(0, TickInterval.count()),
@@ -170,7 +174,9 @@
     return;
   Each.m_Syncing = true;
   std::uint64_t Incarnation = Each.m_Incarnation;
-  Duration Delay = chance(0.05) ? between(1000, 100000) : between(100, 3000);
+  Duration Delay = chance(0.1) ? between(1000, 100000) : between(100, 3000);
+  if (m_Options.m_Faults && !m_IsHealed && chance(0.004))
+    at(Delay / 2, [this] { losePower(); });
   at(Delay, [this, &Each, Target, Incarnation] {
     if (Each.m_Incarnation == Incarnation)
       finishSync(Each, Target);
--- a/tests/support/ControlSimulation.h
+++ b/tests/support/ControlSimulation.h
@@ -34,6 +34,7 @@
 /// What a run did, so that a test can tell that the faults took place.
 struct SimulationCounts {
   std::size_t m_Crashes = 0;
+  std::size_t m_PowerLosses = 0;
   std::size_t m_Wipes = 0;
   std::size_t m_Cuts = 0;
   std::size_t m_Freezes = 0;
@@ -112,6 +113,8 @@
   void checkState(Node &Each, const control::ControlState &State);
 
   void injectFault();
+  void losePower();
+  void restartLater(Node &Each);
   void submitSomething();
   messages::ControlCommand newCommand();
 
