Confirm the promises of a majority before leading; specify ownership

Cause: the specification (spec/program_owner.pml, checked by spin) found a second send of a non-repeatable call. Ledger a promises a high ballot and loses its disk; a younger owner with a lower ballot is promised by b and c, rewrites a and commits there and on c; then b promises the high ballot, and its owner counts the forgotten promise of a.

An owner now asks its majority again, after the last promise came in, whether each promise stands on the same disk. This costs one more round trip at each opening; turns and creations are unchanged.

Ruled out: letting ledgers remember each other's generations. A stale owner can bring an old generation back, and generations have no order.

--- a/src/program/Ballot.cpp
+++ b/src/program/Ballot.cpp
@@ -11,6 +11,10 @@
   return Left.nonce() <=> Right.nonce();
 }
 
+bool isSameBallot(const messages::Ballot &Left, const messages::Ballot &Right) {
+  return compareBallots(Left, Right) == std::strong_ordering::equal;
+}
+
 bool endsLater(const LogEnd &Left, const LogEnd &Right) {
   const auto Order = compareBallots(Left.m_Ballot, Right.m_Ballot);
   if (Order != std::strong_ordering::equal)
--- a/src/program/Ballot.h
+++ b/src/program/Ballot.h
@@ -20,6 +20,8 @@
 std::strong_ordering compareBallots(const messages::Ballot &Left,
                                     const messages::Ballot &Right);
 
+bool isSameBallot(const messages::Ballot &Left, const messages::Ballot &Right);
+
 /// Where a log ends; the log that ends later is the one to adopt.
 struct LogEnd {
   messages::Ballot m_Ballot; ///< Of the last entry.
--- a/src/program/ProgramOwner.cpp
+++ b/src/program/ProgramOwner.cpp
@@ -13,19 +13,6 @@
 /// Longest run of entries in one append, well below the frame's limit.
 constexpr std::size_t MaxAppendBytes = 4U << 20U;
 
-/// Spreads the retries of owners that race each other.
-constexpr std::uint64_t MaxBackoffIntervals = 8;
-
-LogEnd endOf(const std::vector<messages::ProgramEntry> &Log) {
-  if (Log.empty())
-    return {};
-  return {.m_Ballot = Log.back().ballot(), .m_Index = Log.size()};
-}
-
-bool isSameBallot(const messages::Ballot &Left, const messages::Ballot &Right) {
-  return compareBallots(Left, Right) == std::strong_ordering::equal;
-}
-
 } // namespace
 
 ProgramOwner::ProgramOwner(base::ProgramId Program, OwnerOptions Options)
@@ -68,48 +55,6 @@
   sendOpen(Time, Out);
 }
 
-void ProgramOwner::sendOpen(base::Now Time, messages::Outbox &Out) {
-  m_NextOpen = Time.m_Monotonic + m_Options.m_RetransmitInterval;
-  for (const base::InstanceId &Ledger : m_Options.m_Ledgers) {
-    if (m_Promises.m_Replies.contains(Ledger))
-      continue;
-    auto &Open = *Out.add(Ledger).mutable_program()->mutable_open();
-    Open.set_program(m_Program.str());
-    *Open.mutable_ballot() = m_Ballot;
-  }
-}
-
-void ProgramOwner::onOpenReply(const base::InstanceId &From,
-                               const messages::ProgramOpenReply &Reply,
-                               base::Now Time, messages::Outbox &Out) {
-  if (m_Phase != OwnerPhase::Opening || !m_Ledgers.contains(From) ||
-      !isSameBallot(Reply.ballot(), m_Ballot))
-    return;
-  if (!Reply.promised()) {
-    retryOpen(Reply.promised_ballot(), Time);
-    return;
-  }
-  m_Promises.m_Replies[From] = Reply;
-  countPromises(Time, Out);
-}
-
-void ProgramOwner::retryOpen(const messages::Ballot &Promised, base::Now Time) {
-  if (hasLog()) {
-    m_Phase = OwnerPhase::Fenced;
-    return;
-  }
-  if (Promised.round() + 1 <= m_MinRound)
-    return;
-  m_MinRound = Promised.round() + 1;
-  const std::uint64_t Spread =
-      base::stableHash(m_Options.m_Self.str() + std::to_string(m_MinRound)) %
-      MaxBackoffIntervals;
-  // The first refusal usually comes from an owner that is gone.
-  m_NextOpen = Time.m_Monotonic;
-  if (m_Refusals++ > 0)
-    m_NextOpen += m_Options.m_RetransmitInterval * static_cast<int>(Spread);
-}
-
 std::string
 ProgramOwner::createdGeneration(const base::InstanceId &Ledger) const {
   const auto Find = [&](const messages::ProgramEntry &First) -> std::string {
@@ -135,77 +80,6 @@
                                         : createdGeneration(Ledger);
 }
 
-bool ProgramOwner::remembers(const base::InstanceId &Ledger,
-                             const messages::ProgramOpenReply &Reply) const {
-  return !Reply.forgetful() || Reply.generation() == createdGeneration(Ledger);
-}
-
-void ProgramOwner::countPromises(base::Now Time, messages::Outbox &Out) {
-  std::size_t Votes = 0;
-  std::size_t Empty = 0;
-  for (const auto &[Ledger, Reply] : m_Promises.m_Replies) {
-    if (Reply.evicted()) {
-      m_Phase = OwnerPhase::Evicted;
-      return;
-    }
-    if (remembers(Ledger, Reply))
-      ++Votes;
-    if (Reply.entries_size() == 0)
-      ++Empty;
-  }
-  if (!hasLog() && Empty == m_Options.m_Ledgers.size()) {
-    m_Phase = OwnerPhase::Missing;
-    return;
-  }
-  if (Votes < majority())
-    return;
-  adopt();
-  if (m_Phase != OwnerPhase::Fenced)
-    lead(Time, Out);
-}
-
-void ProgramOwner::adopt() {
-  const messages::ProgramOpenReply *Best = nullptr;
-  LogEnd BestEnd = endOf(m_Log);
-  for (const auto &[Ledger, Reply] : m_Promises.m_Replies) {
-    if (Reply.entries_size() == 0)
-      continue;
-    const LogEnd End = {
-        .m_Ballot = Reply.entries(Reply.entries_size() - 1).ballot(),
-        .m_Index = static_cast<std::uint64_t>(Reply.entries_size())};
-    if (!endsLater(End, BestEnd))
-      continue;
-    Best = &Reply;
-    BestEnd = End;
-  }
-  if (Best == nullptr)
-    return;
-  if (hasLog()) {
-    // Only another owner can have written past the own log.
-    m_Phase = OwnerPhase::Fenced;
-    return;
-  }
-  m_Log.assign(Best->entries().begin(), Best->entries().end());
-}
-
-void ProgramOwner::lead(base::Now Time, messages::Outbox &Out) {
-  base::checkInvariant(hasLog(), "an owner leads an empty program");
-  m_Phase = OwnerPhase::Leading;
-  m_Refusals = 0;
-  m_LeadIndex = lastIndex() + 1;
-  for (auto &[Ledger, View] : m_Ledgers) {
-    const auto Reply = m_Promises.m_Replies.find(Ledger);
-    if (Reply != m_Promises.m_Replies.end() && Reply->second.entries_size() > 0)
-      View.m_Next = std::min<std::uint64_t>(
-          static_cast<std::uint64_t>(Reply->second.entries_size()) + 1,
-          m_LeadIndex);
-  }
-  m_Promises = {};
-  messages::ProgramEntry Changed;
-  Changed.mutable_owner_changed()->set_instance(m_Options.m_Self.str());
-  append(std::move(Changed), Time, Out);
-}
-
 std::uint64_t ProgramOwner::append(messages::ProgramEntry Entry, base::Now Time,
                                    messages::Outbox &Out) {
   base::checkInvariant(m_Phase == OwnerPhase::Leading ||
--- a/src/program/ProgramOwner.h
+++ b/src/program/ProgramOwner.h
@@ -3,7 +3,11 @@
 /// appends, and learns what is committed.
 ///
 /// The owner picks a ballot, and a majority of the ledgers promises to refuse
-/// lower ones and returns what it holds. The owner adopts the log that ends
+/// lower ones and returns what it holds. The owner then asks that majority
+/// whether its promises still stand on the same disks: the first ledger may
+/// have lost its disk before the second one promised, and then a younger owner
+/// of a lower ballot may have committed in between (spec/program_owner.pml,
+/// -DNO_CONFIRM). The owner adopts the log that ends
 /// with the highest (ballot, index), appends an OwnerChanged entry under its
 /// own ballot, and then its own entries. An entry is committed when a majority
 /// of the ledgers has an entry of the owner's own ballot at or after it on
@@ -111,13 +115,19 @@
   /// The answers to the present open.
   struct Promises {
     std::map<base::InstanceId, messages::ProgramOpenReply> m_Replies;
-    std::set<base::InstanceId> m_Empty; ///< Answered without any entry.
+    LedgerDisks m_Majority;                 ///< Asked to confirm.
+    std::set<base::InstanceId> m_Confirmed; ///< Of them.
+    std::uint64_t m_Confirmation = 0;       ///< Numbers the majorities asked.
   };
 
   std::size_t majority() const { return m_Options.m_Ledgers.size() / 2 + 1; }
   void startBallot(std::uint64_t Round, const LedgerDisks &Disks);
   void sendOpen(base::Now Time, messages::Outbox &Out);
-  void countPromises(base::Now Time, messages::Outbox &Out);
+  void countPromises(messages::Outbox &Out);
+  void askToConfirm(LedgerDisks Majority, messages::Outbox &Out);
+  void onConfirmation(const base::InstanceId &From,
+                      const messages::ProgramOpenReply &Reply, base::Now Time,
+                      messages::Outbox &Out);
   void adopt();
   void lead(base::Now Time, messages::Outbox &Out);
   std::string createdGeneration(const base::InstanceId &Ledger) const;
--- a/src/program/ProgramReplica.cpp
+++ b/src/program/ProgramReplica.cpp
@@ -13,17 +13,14 @@
 /// Programs in one answer to a list request.
 constexpr int MaxListedPrograms = 500;
 
-bool sameBallot(const messages::Ballot &Left, const messages::Ballot &Right) {
-  return compareBallots(Left, Right) == std::strong_ordering::equal;
-}
-
 /// Number of leading entries of \p Append that the log already has.
 int countMatching(const messages::ProgramAppend &Append,
                   const HeldProgram &Held) {
   int Count = 0;
   for (const messages::ProgramEntry &Entry : Append.entries()) {
     if (Entry.index() > Held.lastIndex() ||
-        !sameBallot(Held.m_Entries[Entry.index() - 1].ballot(), Entry.ballot()))
+        !isSameBallot(Held.m_Entries[Entry.index() - 1].ballot(),
+                      Entry.ballot()))
       break;
     ++Count;
   }
@@ -46,8 +43,8 @@
   if (Index == 0)
     return true;
   return Index <= Held.lastIndex() &&
-         sameBallot(Held.m_Entries[Index - 1].ballot(),
-                    Append.previous_ballot());
+         isSameBallot(Held.m_Entries[Index - 1].ballot(),
+                      Append.previous_ballot());
 }
 
 /// Whether the owner's word makes the disk ordinary for the program.
@@ -180,7 +177,8 @@
   Reply.set_forgetful(Held.m_Forgetful);
   Reply.set_generation(m_Generation);
   Reply.set_evicted(Held.m_Evicted);
-  if (Promised)
+  Reply.set_confirmation(Open.confirmation());
+  if (Promised && Open.confirmation() == 0)
     Reply.mutable_entries()->Assign(Held.m_Entries.begin(),
                                     Held.m_Entries.end());
 }
--- a/tests/correctness/ProgramReplicationTest.cpp
+++ b/tests/correctness/ProgramReplicationTest.cpp
@@ -57,7 +57,9 @@
                   const std::string &Reachable,
                   const messages::Outgoing &Message) {
     for (FakeLedger &Ledger : m_Ledgers) {
+      const bool IsAppend = Message.m_Message.program().has_append();
       if (Ledger.self() != Message.m_To ||
+          (IsAppend && Ledger.self().str() == m_NoAppendsTo) ||
           Reachable.find(Ledger.self().str()) == std::string::npos)
         continue;
       Ledger.onMessage(Self, Message.m_Message.program(), m_Now);
@@ -78,6 +80,7 @@
   }
 
   std::uint64_t m_Nonce = 0;
+  std::string m_NoAppendsTo;
   base::Now m_Now;
   messages::Outbox m_Out;
   FakeLedger m_Ledgers[3] = {FakeLedger(InstanceId("a")),
@@ -162,6 +165,41 @@
   }
 }
 
+TEST_F(ProgramReplicationTest, PromisesOfOneMajorityStandAtTheSameTime) {
+  ProgramOwner Creator(m_Program, options("entry-0"));
+  Creator.create(created(), disks(), m_Now, m_Out);
+  deliver(Creator, InstanceId("entry-0"), "abc");
+  ProgramOwner Higher(m_Program, options("entry-2"));
+  {
+    SCOPED_TRACE("one ledger promises the higher ballot and loses its disk");
+    Higher.open(disks(), m_Now, m_Out);
+    deliver(Higher, m_Second, "a");
+    m_Ledgers[0].wipe();
+  }
+  ProgramOwner Lower(m_Program, options("entry-1"));
+  {
+    SCOPED_TRACE("the lower ballot commits through the rewritten ledger");
+    Lower.open(disks(), m_Now, m_Out);
+    m_NoAppendsTo = "b";
+    deliver(Lower, m_First, "bc");
+    ASSERT_EQ(Lower.phase(), OwnerPhase::Leading);
+    Lower.append(started(1), m_Now, m_Out);
+    tick(Lower);
+    deliver(Lower, m_First, "ac");
+    ASSERT_EQ(Lower.commitIndex(), 3U);
+  }
+  {
+    SCOPED_TRACE("the higher ballot finds the turn and keeps it");
+    m_NoAppendsTo.clear();
+    for (int Round = 0; Round < 4; ++Round) {
+      tick(Higher);
+      deliver(Higher, m_Second, "ab");
+    }
+    ASSERT_EQ(Higher.phase(), OwnerPhase::Leading);
+    EXPECT_TRUE(Higher.entry(3).has_turn_started());
+  }
+}
+
 TEST_F(ProgramReplicationTest, OwnerRepairsAWipeThatHappensUnderIt) {
   ProgramOwner First(m_Program, options("entry-1"));
   First.create(created(), disks(), m_Now, m_Out);
