--- a/src/limits/Lenders.cpp
+++ b/src/limits/Lenders.cpp
@@ -3,6 +3,16 @@
 #include <algorithm>
 
 namespace psp::limits {
+namespace {
+
+/// A belief that is older than this may be checked although it says that the
+/// lender has too little.
+constexpr base::Duration ProbeInterval = base::milliseconds(20);
+
+/// A loan of less than this does not shorten the pause.
+constexpr MicroTokens WorthwhileLoan = OneToken / 4;
+
+} // namespace
 
 Lenders::Lenders(std::size_t DataCentres, std::size_t OwnPosition,
                  BackOff Pause, base::TimePoint Start)
@@ -30,10 +40,23 @@
                                            const Slice &Share,
                                            base::TimePoint Now) const {
   if (expected(Share, Now, Now) < Missing)
-    return std::nullopt;
+    return longestUnheard(Now);
   return richest(1, Share, Now);
 }
 
+std::optional<std::size_t> Lenders::longestUnheard(base::TimePoint Now) const {
+  std::optional<std::size_t> Oldest;
+  for (std::size_t Each = 0; Each < m_Beliefs.size(); ++Each) {
+    const Belief &Current = m_Beliefs[Each];
+    if (Each == m_OwnPosition || Now < Current.m_NotBefore ||
+        Now < Current.m_At + ProbeInterval)
+      continue;
+    if (!Oldest || Current.m_At < m_Beliefs[*Oldest].m_At)
+      Oldest = Each;
+  }
+  return Oldest;
+}
+
 std::optional<std::size_t> Lenders::richest(MicroTokens Least,
                                             const Slice &Share,
                                             base::TimePoint Now) const {
@@ -62,8 +85,9 @@
 
 void Lenders::onReply(std::size_t Lender, MicroTokens Lent, MicroTokens Left,
                       base::TimePoint Now) {
-  if (Lent == 0) {
+  if (Lent < WorthwhileLoan) {
     onFailure(Lender, Now);
+    m_Beliefs[Lender].m_Level = Left;
     return;
   }
   m_Beliefs[Lender] = {.m_Level = Left,
--- a/src/limits/Lenders.h
+++ b/src/limits/Lenders.h
@@ -31,7 +31,7 @@
           base::TimePoint Start);
 
   /// The lender that is believed to have most, if all that may be asked now
-  /// have at least \p Missing together.
+  /// have at least \p Missing together; else one not heard of for a while.
   std::optional<std::size_t> choose(MicroTokens Missing, const Slice &Share,
                                     base::TimePoint Now) const;
 
@@ -40,6 +40,12 @@
   std::optional<std::size_t> richest(MicroTokens Least, const Slice &Share,
                                      base::TimePoint Now) const;
 
+  /// What \p Lender is believed to have now.
+  MicroTokens levelOf(std::size_t Lender, const Slice &Share,
+                      base::TimePoint Now) const {
+    return estimate(m_Beliefs[Lender], Share, Now);
+  }
+
   /// What the lenders that may be asked now are believed to have at \p When.
   MicroTokens expected(const Slice &Share, base::TimePoint Now,
                        base::TimePoint When) const;
@@ -67,6 +73,7 @@
     bool m_Redirected = false; ///< Since it last lent anything.
   };
 
+  std::optional<std::size_t> longestUnheard(base::TimePoint Now) const;
   MicroTokens estimate(const Belief &Lender, const Slice &Share,
                        base::TimePoint Now) const;
 
--- a/tests/performance/LimitsExperiment.cpp
+++ b/tests/performance/LimitsExperiment.cpp
@@ -215,6 +215,7 @@
        .m_Links = {.m_LocalDelay = 150, .m_RemoteDelay = Where.m_RemoteDelay},
        .m_Drift = 0.0001});
   std::vector<OrganisationRate> Rates;
+  Rates.reserve(All.size());
   for (const Organisation &Each : All)
     Rates.push_back(Each.m_Rate);
   Subject->setRates(Rates);
--- a/tests/support/LimitsFleet.h
+++ b/tests/support/LimitsFleet.h
@@ -142,7 +142,7 @@
   void setRates(std::size_t Node, std::uint64_t Number,
                 const std::vector<OrganisationRate> &Rates) {
     m_Nodes[Node].m_Number = Number;
-    m_Nodes[Node].m_Rates = Rates;
+    m_Rates.emplace(Number, Rates);
     if (isUp(Node))
       m_Nodes[Node].m_Limits->setRates(Number, Rates, clock(Node));
   }
@@ -162,8 +162,8 @@
     Options.m_DataCentre = Options.m_Members[Node].m_DataCentre;
     Options.m_IsEntry = member(Node).m_IsEntry;
     m_Nodes[Node].m_Limits = std::make_unique<RateLimits>(Options, clock(Node));
-    m_Nodes[Node].m_Limits->setRates(m_Nodes[Node].m_Number,
-                                     m_Nodes[Node].m_Rates, clock(Node));
+    m_Nodes[Node].m_Limits->setRates(
+        m_Nodes[Node].m_Number, m_Rates[m_Nodes[Node].m_Number], clock(Node));
     const std::uint64_t Run = m_Nodes[Node].m_Run;
     std::uniform_int_distribution<TrueTime> Phase(0, m_Options.m_Tick);
     schedule(Phase(m_Random), [this, Node, Run] { tick(Node, Run); });
@@ -218,7 +218,6 @@
     std::uint64_t m_Run = 0; ///< Tells runs of the process apart.
     TrueTime m_FrozenUntil = 0;
     std::uint64_t m_Number = 0;
-    std::vector<OrganisationRate> m_Rates;
   };
   struct Event {
     TrueTime m_At = 0;
@@ -316,6 +315,8 @@
   std::uint64_t m_Order = 0;
   std::priority_queue<Event> m_Events;
   std::vector<Node> m_Nodes;
+  std::map<std::uint64_t, std::vector<OrganisationRate>>
+      m_Rates;                                ///< By number.
   std::vector<std::vector<TrueTime>> m_Heard; ///< By receiver and sender.
   std::set<base::DataCentreId> m_Cut;
   std::set<std::size_t> m_Isolated;
