--- a/src/limits/LimiterLoans.cpp
+++ b/src/limits/LimiterLoans.cpp
@@ -11,8 +11,8 @@
 
 /// A limiter asks a fuller one for a loan when they differ by this part of the
 /// burst, so that slices don't lie full while another one empties.
-constexpr MicroTokens BalancePart = 32;
-constexpr MicroTokens LeastBalance = OneToken / 4;
+constexpr MicroTokens BalancePart = 8;
+constexpr MicroTokens LeastBalance = OneToken;
 constexpr base::Duration BalanceInterval = base::milliseconds(20);
 
 MicroTokens balanceStep(const Slice &Share) {
