Age programs from their start, keep prefixes home, keep a slot for alarms

Cause: least attained service with ageing from each call's arrival spread the engines over so many programs that they evicted each other's prefixes, and calls left the endpoint with their prefix as soon as its window was full. Also: a program that ended while a call of it waited was forgotten, and what that call left at an endpoint was never released; a window share of zero lifted the bound.

Now: a call's rank counts the age of its program; only a program's first call is refused early; computing a prompt is charged with every call that it holds up, so a call waits longer for the endpoint that holds its prefix; the share of slots is rounded down and one slot is kept for alarms.

--- a/src/schedule/CallQueue.h
+++ b/src/schedule/CallQueue.h
@@ -21,6 +21,7 @@
   Work m_Work = 0.0;     ///< Estimated.
   Work m_Attained = 0.0; ///< Work that its program has got so far.
   base::TimePoint m_EnqueuedAt;
+  base::TimePoint m_ProgramStart; ///< When its program's first call came.
 };
 
 /// Waiting calls in some order. Alarms go first in each order but first-come.
@@ -33,6 +34,9 @@
   /// Takes the next call out and charges its organisation with its work.
   virtual std::optional<QueuedCall> pop() = 0;
 
+  /// Does pop() return an alarm?
+  virtual bool nextIsAlarm() const = 0;
+
   /// Takes a call out wherever it stands; false: it isn't here.
   virtual bool remove(CallNumber Call) = 0;
 
@@ -63,8 +67,9 @@
 
 struct QueueOptions {
   QueueOrder m_Order = QueueOrder::Fair;
-  /// Waiting for a second outweighs this much attained work.
-  Work m_AgeingPerSecond = 200.0;
+  /// One second of age outweighs this much attained work.
+  Work m_AgeingPerSecond = 2000.0;
+  bool m_AgeFromProgramStart = true; ///< Otherwise from the call's arrival.
 };
 
 std::unique_ptr<CallQueue> makeCallQueue(const QueueOptions &Options);
--- a/src/schedule/EndpointTarget.cpp
+++ b/src/schedule/EndpointTarget.cpp
@@ -1,7 +1,5 @@
 #include "schedule/EndpointTarget.h"
 
-#include "schedule/Calls.h"
-
 #include <algorithm>
 #include <cmath>
 
@@ -14,6 +12,9 @@
 /// Share of the token time that each further running call adds.
 constexpr double BatchCost = 0.03;
 
+/// Slots of each endpoint that are kept back for alarms.
+constexpr std::uint32_t AlarmSlots = 1;
+
 /// Slots of an endpoint that announces none.
 constexpr double DefaultSlots = 16.0;
 
@@ -24,6 +25,11 @@
   return std::chrono::duration<double>(To - From).count();
 }
 
+/// Calls beyond the window that a call of this class may add up to.
+std::uint32_t reserve(CallClass Class) {
+  return Class == CallClass::Alarm ? AlarmSlots : 0;
+}
+
 void learn(double &Mean, double Sample) {
   Mean = Mean == 0.0 ? Sample : Mean + SampleWeight * (Sample - Mean);
 }
@@ -92,12 +98,12 @@
   m_PrefixHitShare += SampleWeight * (Share - m_PrefixHitShare);
 }
 
-bool EndpointTarget::hasRoom(base::TimePoint Time) const {
+bool EndpointTarget::hasRoom(CallClass Class, base::TimePoint Time) const {
   if (Time >= m_UsableUntil)
     return false;
   switch (m_Health.state()) {
   case HealthState::Healthy:
-    return m_Window.hasRoom();
+    return m_Window.outstanding() < m_Window.allowed() + reserve(Class);
   case HealthState::Probing:
     return m_Window.outstanding() == 0;
   case HealthState::LeftOut:
@@ -123,12 +129,12 @@
   // Each instance has an equal share, and of the slots that were free by the
   // last report it may take an equal share as well. All of them together stay
   // within the slots as long as the reports are right.
-  const double Slots = m_Endpoint.m_Slots;
-  const double Share = std::ceil(Slots / m_ShareCount);
+  const double Slots = std::max(1.0, m_Slots - AlarmSlots);
+  const double Share = std::floor(Slots / m_ShareCount);
   const double Reported = m_Endpoint.m_Running + m_Endpoint.m_Waiting;
   const double Free = std::max(0.0, Slots - Reported);
   const double Lent = m_OwnAtPreviousReport + std::floor(Free / m_ShareCount);
-  m_Window.setCap(std::min(Slots, std::max(Share, Lent)));
+  m_Window.setCap(std::max(1.0, std::min(Slots, std::max(Share, Lent))));
 }
 
 } // namespace psp::schedule
--- a/src/schedule/EndpointTarget.h
+++ b/src/schedule/EndpointTarget.h
@@ -5,6 +5,7 @@
 #ifndef PSP_SCHEDULE_ENDPOINTTARGET_H
 #define PSP_SCHEDULE_ENDPOINTTARGET_H
 
+#include "schedule/Calls.h"
 #include "schedule/EndpointHealth.h"
 #include "schedule/EndpointRegistry.h"
 #include "schedule/EndpointWindow.h"
@@ -56,8 +57,8 @@
   const EndpointCosts &costs() const { return m_Costs; }
   std::uint32_t parked() const { return m_Parked; }
 
-  /// May it get one more call now?
-  bool hasRoom(base::TimePoint Time) const;
+  /// May it get one more call now? A slot is kept back for alarms.
+  bool hasRoom(CallClass Class, base::TimePoint Time) const;
 
   /// Calls that run or wait there: the own ones, and those of others by the
   /// last report, which lags.
--- a/src/schedule/EndpointWindow.h
+++ b/src/schedule/EndpointWindow.h
@@ -47,7 +47,6 @@
   /// A call timed out or failed.
   void noteFailure();
 
-  bool hasRoom() const { return m_Outstanding < allowed(); }
   /// At least one call.
   std::uint32_t allowed() const {
     return m_Limit < 1.0 ? 1U : static_cast<std::uint32_t>(m_Limit);
--- a/src/schedule/FairQueue.cpp
+++ b/src/schedule/FairQueue.cpp
@@ -13,8 +13,7 @@
 
 } // namespace
 
-FairQueue::FairQueue(Work AgeingPerSecond)
-    : m_AgeingPerSecond(AgeingPerSecond) {}
+FairQueue::FairQueue(const QueueOptions &Options) : m_Options(Options) {}
 
 void FairQueue::push(const QueuedCall &Call) {
   ++m_Size;
@@ -137,8 +136,10 @@
 }
 
 FairQueue::Rank FairQueue::rankOf(const QueuedCall &Call) const {
-  return {.m_Value = Call.m_Attained +
-                     m_AgeingPerSecond * secondsOf(Call.m_EnqueuedAt),
+  const base::TimePoint Born =
+      m_Options.m_AgeFromProgramStart ? Call.m_ProgramStart : Call.m_EnqueuedAt;
+  return {.m_Value =
+              Call.m_Attained + m_Options.m_AgeingPerSecond * secondsOf(Born),
           .m_Call = Call.m_Call};
 }
 
--- a/src/schedule/FairQueue.h
+++ b/src/schedule/FairQueue.h
@@ -25,10 +25,11 @@
 
 class FairQueue : public CallQueue {
 public:
-  explicit FairQueue(Work AgeingPerSecond);
+  explicit FairQueue(const QueueOptions &Options);
 
   void push(const QueuedCall &Call) override;
   std::optional<QueuedCall> pop() override;
+  bool nextIsAlarm() const override { return !m_Alarms.empty(); }
   bool remove(CallNumber Call) override;
   void correct(const base::OrganisationId &Organisation,
                Work Difference) override;
@@ -59,7 +60,7 @@
   QueuedCall popAlarm();
   void takeOut(Lane &Source, std::map<Rank, QueuedCall>::iterator Position);
 
-  Work m_AgeingPerSecond;
+  QueueOptions m_Options;
   std::size_t m_Size = 0;
   Work m_LastCharged = 0.0; ///< Counter of the last lane served, before it.
   Work m_AlarmWork = 0.0;
--- a/src/schedule/ProgramTable.cpp
+++ b/src/schedule/ProgramTable.cpp
@@ -7,6 +7,18 @@
 
 namespace psp::schedule {
 
+void ProgramTable::noteArrival(const base::ProgramId &Id,
+                               base::TimePoint Time) {
+  const auto [Position, New] = m_Programs.try_emplace(Id);
+  ++Position->second.m_Calls;
+  if (New)
+    Position->second.m_Start = Time;
+}
+
+base::TimePoint ProgramTable::start(const base::ProgramId &Id) const {
+  return m_Programs.at(Id).m_Start;
+}
+
 Work ProgramTable::attained(const base::ProgramId &Id) const {
   const auto Known = m_Programs.find(Id);
   return Known == m_Programs.end() ? 0.0 : Known->second.m_Attained;
@@ -21,19 +33,20 @@
 
 void ProgramTable::noteSent(const base::ProgramId &Id,
                             const base::EndpointId &Endpoint) {
-  Program &Target = m_Programs[Id];
-  ++Target.m_InFlight;
-  auto &Known = Target.m_Endpoints;
+  auto &Known = m_Programs.at(Id).m_Endpoints;
   if (std::find(Known.begin(), Known.end(), Endpoint) == Known.end())
     Known.push_back(Endpoint);
 }
 
-void ProgramTable::noteEnded(const base::ProgramId &Id, Work Done) {
+void ProgramTable::addWork(const base::ProgramId &Id, Work Done) {
+  m_Programs.at(Id).m_Attained += Done;
+}
+
+void ProgramTable::noteGone(const base::ProgramId &Id) {
   Program &Target = m_Programs.at(Id);
-  base::checkInvariant(Target.m_InFlight > 0,
-                       "a program's call ended that was never sent");
-  --Target.m_InFlight;
-  Target.m_Attained += Done;
+  base::checkInvariant(Target.m_Calls > 0,
+                       "a program's call ended that never came");
+  --Target.m_Calls;
   releaseIfDone(Id);
 }
 
@@ -60,7 +73,7 @@
 void ProgramTable::releaseIfDone(const base::ProgramId &Id) {
   const auto Known = m_Programs.find(Id);
   const Program &Target = Known->second;
-  if (!Target.m_Ended || Target.m_InFlight > 0)
+  if (!Target.m_Ended || Target.m_Calls > 0)
     return;
   for (const base::EndpointId &Each : Target.m_Endpoints)
     m_Releases.push_back({.m_Program = Id, .m_Endpoint = Each});
--- a/src/schedule/ProgramTable.h
+++ b/src/schedule/ProgramTable.h
@@ -22,6 +22,13 @@
 
 class ProgramTable {
 public:
+  /// A call of the program came; its first one marks the program's start.
+  /// noteGone() ends what this begins.
+  void noteArrival(const base::ProgramId &Id, base::TimePoint Time);
+
+  /// When the program's first call came.
+  base::TimePoint start(const base::ProgramId &Id) const;
+
   Work attained(const base::ProgramId &Id) const;
 
   /// Null when no endpoint holds anything for it.
@@ -30,7 +37,10 @@
   void noteSent(const base::ProgramId &Id, const base::EndpointId &Endpoint);
 
   /// A call that was sent has ended and has cost \p Done.
-  void noteEnded(const base::ProgramId &Id, Work Done);
+  void addWork(const base::ProgramId &Id, Work Done);
+
+  /// A call that came is over, whether it was sent or not.
+  void noteGone(const base::ProgramId &Id);
 
   /// The endpoint now holds the first \p Tokens tokens of the next prompt.
   void noteHeld(const base::ProgramId &Id, const base::EndpointId &Endpoint,
@@ -52,10 +62,11 @@
 
 private:
   struct Program {
+    base::TimePoint m_Start;
     Work m_Attained = 0.0;
     HeldPrefix m_Held;
     std::vector<base::EndpointId> m_Endpoints;
-    std::size_t m_InFlight = 0;
+    std::size_t m_Calls = 0; ///< Waiting or sent.
     bool m_Ended = false;
   };
 
--- a/src/schedule/RoutingPolicy.cpp
+++ b/src/schedule/RoutingPolicy.cpp
@@ -75,9 +75,10 @@
 double expectedSeconds(const RoutingRequest &Request,
                        const RoutingCandidate &Candidate) {
   const double Held = std::min(Candidate.m_HeldTokens, Request.m_PromptTokens);
-  const double Prefill =
-      (Request.m_PromptTokens - Held) * Candidate.m_SecondsPerPromptToken;
   const double Running = std::min(Candidate.m_Load, Candidate.m_Slots);
+  // Computing a prompt holds up each call that runs there as well.
+  const double Prefill = (Request.m_PromptTokens - Held) *
+                         Candidate.m_SecondsPerPromptToken * (1.0 + Running);
   const double Answer = Request.m_AnswerTokens * Candidate.m_SecondsPerToken *
                         (1.0 + BatchCost * Running);
   const double Excess =
--- a/src/schedule/Scheduler.cpp
+++ b/src/schedule/Scheduler.cpp
@@ -71,6 +71,7 @@
   New.m_EnqueuedAt = Time;
   ++m_Queued;
   m_Deadlines.emplace(Waiting.m_Deadline, Waiting.m_Call);
+  m_Programs.noteArrival(Waiting.m_Program, Time);
   pushToQueue(New, Time);
   Route &Target = routeOf(Waiting.m_Service);
   if (Waiting.m_Deadline <= Time) {
@@ -81,7 +82,8 @@
     const QueuedCall Newcomer{.m_Call = Waiting.m_Call,
                               .m_Organisation = Waiting.m_Organisation,
                               .m_Class = Waiting.m_Class,
-                              .m_EnqueuedAt = Time};
+                              .m_EnqueuedAt = Time,
+                              .m_ProgramStart = Time};
     const auto Victim = Target.m_Queue->victimFor(Newcomer);
     refuse(Victim.value_or(Waiting.m_Call), base::ErrorKind::Overloaded,
            retryAfter(Target));
@@ -96,7 +98,7 @@
     unqueue(Known->second);
   else
     std::erase(m_Failed, Number);
-  m_Calls.erase(Known);
+  forget(Number);
 }
 
 std::vector<Refusal> Scheduler::takeRefusals(base::TimePoint Time) {
@@ -137,7 +139,7 @@
   if (Failed && Ended.m_Call.m_Repeatable && !Ended.m_FirstByteAt)
     rememberFailed(Number);
   else
-    m_Calls.erase(Known);
+    forget(Number);
 }
 
 bool Scheduler::retry(CallNumber Number, base::TimePoint Time) {
@@ -152,7 +154,7 @@
   std::erase(m_Failed, Number);
   Call &Again = Failed->second;
   if (Time >= Again.m_Call.m_Deadline || !m_RetryBudget.take()) {
-    m_Calls.erase(Failed);
+    forget(Number);
     return false;
   }
   ++m_Queued;
@@ -181,7 +183,10 @@
                              base::TimePoint Time) {
   const Work Capacity = Target.m_Drain.perSecond();
   const bool Alarm = Waiting.m_Class == CallClass::Alarm;
-  if (!m_Options.m_RefuseEarly || Alarm || Capacity <= 0.0)
+  // What a program under way has been given would be lost with it, so only a
+  // program's first call is refused early.
+  const bool UnderWay = m_Programs.attained(Waiting.m_Program) > 0.0;
+  if (!m_Options.m_RefuseEarly || Alarm || UnderWay || Capacity <= 0.0)
     return false;
   const Work Ahead = Target.m_Queue->workAhead(Waiting.m_Organisation);
   return Time + fromSeconds(Ahead / Capacity) > Waiting.m_Deadline;
@@ -193,7 +198,7 @@
   base::checkInvariant(Refused.m_Phase != Phase::InFlight,
                        "a call was refused as not run after it was sent");
   unqueue(Refused);
-  m_Calls.erase(Number);
+  forget(Number);
   m_Refusals.push_back(
       {.m_Call = Number, .m_Kind = Kind, .m_RetryAfter = RetryAfter});
 }
@@ -242,7 +247,14 @@
            .m_Class = Waiting.m_Call.m_Class,
            .m_Work = Waiting.m_Estimate,
            .m_Attained = m_Programs.attained(Waiting.m_Call.m_Program),
-           .m_EnqueuedAt = Time});
+           .m_EnqueuedAt = Time,
+           .m_ProgramStart = m_Programs.start(Waiting.m_Call.m_Program)});
+}
+
+void Scheduler::forget(CallNumber Number) {
+  const auto Known = m_Calls.find(Number);
+  m_Programs.noteGone(Known->second.m_Call.m_Program);
+  m_Calls.erase(Known);
 }
 
 void Scheduler::rememberFailed(CallNumber Number) {
@@ -253,7 +265,7 @@
   m_Failed.push_back(Number);
   if (m_Failed.size() <= RememberedFailures)
     return;
-  m_Calls.erase(m_Failed.front());
+  forget(m_Failed.front());
   m_Failed.pop_front();
 }
 
@@ -292,7 +304,7 @@
     break;
   }
   Way.m_Queue->correct(Asked.m_Organisation, Done - Ended.m_Estimate);
-  m_Programs.noteEnded(Asked.m_Program, Done);
+  m_Programs.addWork(Asked.m_Program, Done);
   if (Target.window().outstanding() == 0 && !Target.endpoint().usable(Time))
     m_RoutesStale = true;
 }
--- a/src/schedule/Scheduler.h
+++ b/src/schedule/Scheduler.h
@@ -166,6 +166,7 @@
   base::Duration retryAfter(const Route &Target);
   void unqueue(Call &Target);
   void pushToQueue(Call &Target, base::TimePoint Time);
+  void forget(CallNumber Number);
   void rememberFailed(CallNumber Number);
   void endInFlight(Call &Target, CallResult Result, std::uint64_t UsedTokens,
                    std::uint64_t RecomputedTokens, base::TimePoint Time);
--- a/src/schedule/SchedulerDispatch.cpp
+++ b/src/schedule/SchedulerDispatch.cpp
@@ -31,6 +31,14 @@
   return Target->health().state() == HealthState::LeftOut;
 }
 
+bool hasRoomAnywhere(const Route &Target, CallClass Class,
+                     base::TimePoint Time) {
+  const auto &Targets = Target.targets();
+  return std::any_of(Targets.begin(), Targets.end(), [&](const auto *Each) {
+    return Each->hasRoom(Class, Time);
+  });
+}
+
 /// \p Own fades into \p Mean as it gets old, so that an endpoint that was slow
 /// once is tried again.
 double fadedCost(double Own, double Mean, double Age) {
@@ -195,12 +203,9 @@
     EndpointTarget &Wanted = m_Targets.at(Next.m_Endpoint);
     Next.m_WaitOver = Next.m_WaitOver || Time >= Next.m_WaitUntil ||
                       isLeftOut(&Wanted) || !Wanted.endpoint().usable(Time);
-    if (!Next.m_WaitOver && !Wanted.hasRoom(Time))
+    if (!Next.m_WaitOver && !Wanted.hasRoom(Next.m_Call.m_Class, Time))
       continue;
-    const bool Anywhere =
-        std::any_of(Target.targets().begin(), Target.targets().end(),
-                    [Time](const auto *Each) { return Each->hasRoom(Time); });
-    if (!Anywhere)
+    if (!hasRoomAnywhere(Target, Next.m_Call.m_Class, Time))
       continue;
     std::erase(Target.m_Parked, Number);
     Wanted.unpark();
@@ -210,10 +215,9 @@
 
 void Scheduler::serveQueue(Route &Target, base::TimePoint Time) {
   while (Target.m_Queue->size() > 0) {
-    const bool Anywhere =
-        std::any_of(Target.targets().begin(), Target.targets().end(),
-                    [Time](const auto *Each) { return Each->hasRoom(Time); });
-    if (!Anywhere)
+    const CallClass Class =
+        Target.m_Queue->nextIsAlarm() ? CallClass::Alarm : CallClass::Normal;
+    if (!hasRoomAnywhere(Target, Class, Time))
       return;
     const auto Next = Target.m_Queue->pop();
     Call &Chosen = m_Calls.at(Next->m_Call);
@@ -258,7 +262,7 @@
     const double Age =
         std::chrono::duration<double>(Time - Costs.m_LearnedAt).count();
     RoutingCandidate Candidate{
-        .m_HasRoom = Each->hasRoom(Time),
+        .m_HasRoom = Each->hasRoom(Next.m_Call.m_Class, Time),
         .m_Load = Each->load(),
         .m_Slots = Each->slots(),
         .m_SecondsPerToken =
@@ -298,7 +302,7 @@
   const Endpoint &Announced = Target.endpoint();
   base::checkInvariant(Announced.usable(Time),
                        "a call goes to an endpoint that has left");
-  base::checkInvariant(Target.hasRoom(Time),
+  base::checkInvariant(Target.hasRoom(Next.m_Call.m_Class, Time),
                        "a call goes to an endpoint without room");
   note(Next, Chosen, Time);
   m_Deadlines.erase({Next.m_Call.m_Deadline, Next.m_Call.m_Call});
@@ -326,8 +330,9 @@
   Next.m_WaitOver = false;
   Next.m_Endpoint = Chosen.m_Target->endpoint().m_Id;
   // It waits no longer than computing the prefix elsewhere would take.
-  const double Recompute =
-      Chosen.m_HeldTokens * Target.m_MeanCosts.m_PerPromptToken;
+  const double Recompute = Chosen.m_HeldTokens *
+                           Target.m_MeanCosts.m_PerPromptToken *
+                           (1.0 + Chosen.m_Target->load());
   Next.m_WaitUntil =
       Time + std::min(m_Options.m_MaxAffinityWait, fromSeconds(Recompute));
   Target.m_Parked.push_back(Next.m_Call.m_Call);
--- a/src/schedule/SimpleQueues.cpp
+++ b/src/schedule/SimpleQueues.cpp
@@ -23,6 +23,10 @@
     return Result;
   }
 
+  bool nextIsAlarm() const override {
+    return !m_Waiting.empty() && m_Waiting.front().m_Class == CallClass::Alarm;
+  }
+
   bool remove(CallNumber Call) override {
     const auto Position =
         std::find_if(m_Waiting.begin(), m_Waiting.end(),
@@ -88,6 +92,8 @@
     return Result;
   }
 
+  bool nextIsAlarm() const override { return m_Alarms.size() > 0; }
+
   bool remove(CallNumber Call) override {
     if (m_Alarms.remove(Call)) {
       --m_Size;
@@ -154,7 +160,7 @@
   case QueueOrder::Fair:
     break;
   }
-  return std::make_unique<FairQueue>(Options.m_AgeingPerSecond);
+  return std::make_unique<FairQueue>(Options);
 }
 
 } // namespace psp::schedule
--- a/tests/error/SchedulerRandomTest.cpp
+++ b/tests/error/SchedulerRandomTest.cpp
@@ -184,6 +184,9 @@
     EXPECT_TRUE(m_Open.empty());
     EXPECT_EQ(m_Scheduler.queuedCalls(), 0U);
     EXPECT_EQ(m_Scheduler.callsInFlight(), 0U);
+    for (int I = 0; I < 12; ++I)
+      m_Scheduler.programEnded(base::ProgramId("p" + std::to_string(I)));
+    EXPECT_EQ(m_Scheduler.status().m_Programs, 0U);
   }
 
   std::mt19937_64 m_Random{GetParam()};
