Histories of a running ledger, report over plain counters

Ruled out: readFolder for this, since it reports and goes on. Times are matched entry by entry, since the wall clock may step back.

--- a/src/ctl/Report.cpp
+++ b/src/ctl/Report.cpp
@@ -66,6 +66,18 @@
 
   const std::set<std::string> &organisations() const { return m_Organisations; }
 
+  /// Sums of every counter, whatever its labels.
+  std::map<std::string, double> counters() const {
+    std::map<std::string, double> Result;
+    for (const InstanceMetrics &Instance : m_Instances) {
+      for (const Sample &Each : Instance.m_Samples) {
+        if (Each.m_Name.ends_with("_total"))
+          Result[Each.m_Name] += Each.m_Value;
+      }
+    }
+    return Result;
+  }
+
   /// Sums of a counter for each value of \p LabelName.
   std::map<std::string, double> sums(const metrics::MetricName &Name,
                                      const std::string &LabelName) const {
@@ -99,7 +111,8 @@
   std::vector<Bar> Bars;
   Bars.reserve(Values.size());
   for (const auto &[Label, Value] : Values)
-    Bars.push_back({.m_Label = Label, .m_Value = Value});
+    Bars.push_back(
+        {.m_Label = Label.empty() ? "all" : Label, .m_Value = Value});
   return Bars;
 }
 
@@ -160,14 +173,14 @@
             " s.</p>\n";
   }
   return Text + "<h3>Queue time, 95th percentile</h3>\n" +
-         barChart(Waits, " s") + "<h3>Tokens processed</h3>\n" +
+         barChart(Waits, " s") + "<h3>Prompt tokens</h3>\n" +
          barChart(
-             toBars(Fleet.sums(names::UsedTokens, names::OrganisationLabel)),
+             toBars(Fleet.sums(names::PromptTokens, names::OrganisationLabel)),
              "");
 }
 
 std::string cacheSection(const FleetMetrics &Fleet) {
-  const auto Used = Fleet.sums(names::UsedTokens, names::OrganisationLabel);
+  const auto Used = Fleet.sums(names::PromptTokens, names::OrganisationLabel);
   std::map<std::string, double> Shares;
   for (const auto &[Organisation, Recomputed] :
        Fleet.sums(names::RecomputedTokens, names::OrganisationLabel)) {
@@ -175,8 +188,8 @@
     if (Total != Used.end() && Total->second > 0)
       Shares[Organisation] = Percent * Recomputed / Total->second;
   }
-  return "<h2>Cache waste</h2>\n<h3>Recomputed tokens in 100 tokens "
-         "processed</h3>\n" +
+  return "<h2>Cache waste</h2>\n<h3>Recomputed tokens in 100 prompt "
+         "tokens</h3>\n" +
          barChart(toBars(Shares), " %");
 }
 
@@ -198,6 +211,7 @@
   Text += refusalSection(Fleet);
   Text += fairnessSection(Fleet);
   Text += cacheSection(Fleet);
+  Text += "<h2>Counters</h2>\n" + barChart(toBars(Fleet.counters()), "");
   return Text + "</body></html>\n";
 }
 
@@ -216,6 +230,11 @@
            .m_Samples = metrics::parseSamples(Answer["text"].asString())});
     } catch (const RpcUnreachable &Error) {
       Unreachable.push_back(Target);
+    } catch (const RpcRefused &Error) {
+      if (Error.kind() != "not-found")
+        throw;
+      // A ledger serves no calls and has no metrics of them.
+      Run.error() << "pspctl: " << Target << ": " << Error.what() << "\n";
     }
   }
   const std::string Page = makeReport(Instances, Unreachable,
--- a/src/metrics/Names.h
+++ b/src/metrics/Names.h
@@ -33,8 +33,8 @@
 /// Labels: organisation.
 inline const MetricName Calls = {"psp_calls_total", "Calls that were accepted"};
 /// Labels: organisation.
-inline const MetricName UsedTokens = {"psp_used_tokens_total",
-                                      "Tokens processed by endpoints"};
+inline const MetricName PromptTokens = {
+    "psp_prompt_tokens_total", "Prompt tokens of the calls sent to endpoints"};
 /// Labels: organisation.
 inline const MetricName RecomputedTokens = {
     "psp_recomputed_tokens_total",
--- a/src/records/VerifyFolder.cpp
+++ b/src/records/VerifyFolder.cpp
@@ -63,7 +63,9 @@
 /// generation of the disk and nothing else.
 class JournalRecords {
 public:
-  explicit JournalRecords(Histories &Out) : m_Histories(Out) {}
+  /// An empty \p Wanted takes all programs.
+  JournalRecords(Histories &Out, const base::ProgramId &Wanted)
+      : m_Histories(Out), m_Wanted(Wanted) {}
 
   void take(std::string_view Record) {
     ++m_Count;
@@ -78,6 +80,8 @@
     if (!IsParsed)
       throw base::UserError(base::ErrorKind::Internal,
                             "expected a program record, found other bytes");
+    if (!m_Wanted.empty() && Parsed.program() != m_Wanted.str())
+      return;
     auto &Entries = m_Histories[Parsed.program()];
     if (Parsed.keep_through() < Entries.size())
       Entries.resize(Parsed.keep_through());
@@ -89,13 +93,16 @@
 
 private:
   Histories &m_Histories;
+  const base::ProgramId &m_Wanted;
   std::size_t m_Count = 0;
   bool m_HoldsPrograms = false;
 };
 
-void readJournal(const fs::path &Folder,
-                 const std::vector<SegmentFile> &Segments,
-                 JournalRecords &Records) {
+/// Returns the file whose last bytes form no whole batch, if there is one;
+/// only the last file may have such a tail.
+std::optional<std::string> readJournal(const fs::path &Folder,
+                                       const std::vector<SegmentFile> &Segments,
+                                       JournalRecords &Records) {
   const auto Handle = [&](std::string_view Record) { Records.take(Record); };
   std::uint64_t Covered = 0;
   const fs::path Snapshot = Folder / storage::SnapshotFileName;
@@ -116,11 +123,16 @@
     const auto Read = storage::readSegment(Each.m_Path.string(), Content,
                                            Each.m_First, Covered, Handle);
     Next = Read.m_NextSequence;
-    if (Read.m_ValidBytes != Content.size())
-      refuse(Each.m_Path,
-             "bytes from offset " + std::to_string(Read.m_ValidBytes) +
-                 " on form no whole batch: changed, or torn by a crash");
+    if (Read.m_ValidBytes == Content.size())
+      continue;
+    const std::string Tail =
+        "bytes from offset " + std::to_string(Read.m_ValidBytes) +
+        " on form no whole batch: changed, or torn by a crash";
+    if (&Each != &Segments.back())
+      refuse(Each.m_Path, Tail);
+    return Each.m_Path.string() + ": " + Tail;
   }
+  return std::nullopt;
 }
 
 /// The identity is checked by its own checksum.
@@ -150,7 +162,8 @@
 private:
   void readOne(const fs::path &Folder) {
     FolderReport &Report = m_Result.m_Report;
-    JournalRecords Records(m_Histories);
+    const base::ProgramId Every;
+    JournalRecords Records(m_Histories, Every);
     try {
       if (fs::exists(Folder / IdentityFileName))
         checkIdentity(Folder / IdentityFileName);
@@ -158,8 +171,10 @@
       const bool IsJournal =
           !Segments.empty() || fs::exists(Folder / storage::SnapshotFileName);
       Report.m_Journals += IsJournal ? 1 : 0;
-      if (IsJournal)
-        readJournal(Folder, Segments, Records);
+      if (!IsJournal)
+        return;
+      if (const auto Tail = readJournal(Folder, Segments, Records))
+        Report.m_Faults.push_back(*Tail);
     } catch (const base::UserError &Error) {
       Report.m_Faults.emplace_back(Error.what());
     }
@@ -194,6 +209,30 @@
   return FolderReader().read(Folder);
 }
 
+std::vector<ProgramHistory> readHistories(const std::string &Folder,
+                                          const RecordFilter &Filter) {
+  Histories Found;
+  JournalRecords Records(Found, Filter.m_Program);
+  readJournal(Folder, listSegments(Folder), Records);
+  std::vector<ProgramHistory> Result;
+  for (auto &[Program, Entries] : Found) {
+    const bool OrganisationMatches =
+        Filter.m_Organisation.empty() ||
+        (!Entries.empty() && Entries.front().created().organisation() ==
+                                 Filter.m_Organisation.str());
+    const bool HasMatch =
+        OrganisationMatches &&
+        std::any_of(Entries.begin(), Entries.end(), [&](const auto &Entry) {
+          return Entry.wall_time_us() >= Filter.m_From &&
+                 Entry.wall_time_us() <= Filter.m_Until;
+        });
+    if (HasMatch)
+      Result.push_back({.m_Program = base::ProgramId(Program),
+                        .m_Entries = std::move(Entries)});
+  }
+  return Result;
+}
+
 FolderReport verifyFolder(const std::string &Folder) {
   return readFolder(Folder).m_Report;
 }
--- a/src/records/VerifyFolder.h
+++ b/src/records/VerifyFolder.h
@@ -53,6 +53,13 @@
 /// base::UserError(NotFound) when there is no journal.
 FolderContent readFolder(const std::string &Folder);
 
+/// The histories below \p Folder that can hold a match for \p Filter, for a
+/// ledger that is running: a last batch that is half written is left out, as
+/// it isn't synced. Throws base::UserError(Internal) when synced records are
+/// damaged, rather than return a history with a gap.
+std::vector<ProgramHistory> readHistories(const std::string &Folder,
+                                          const RecordFilter &Filter);
+
 FolderReport verifyFolder(const std::string &Folder);
 
 } // namespace psp::records
--- a/tests/error/DataFolderTest.cpp
+++ b/tests/error/DataFolderTest.cpp
@@ -116,6 +116,37 @@
   EXPECT_FALSE(Report.isIntact());
 }
 
+TEST_F(DataFolderTest, HistoriesAreReadWhileTheLedgerWrites) {
+  write({tests::sampleHistory("a.01"), tests::sampleHistory("a.02")});
+  const std::string Folder = (root() / "programs").string();
+  EXPECT_EQ(readHistories(Folder, {}).size(), 2U);
+  const auto Named =
+      readHistories(Folder, {.m_Program = base::ProgramId("a.02")});
+  ASSERT_EQ(Named.size(), 1U);
+  EXPECT_EQ(Named[0].m_Entries.size(), 6U);
+  EXPECT_TRUE(
+      readHistories(Folder, {.m_Organisation = base::OrganisationId("south")})
+          .empty());
+  std::vector<fs::path> Segments = files();
+  std::erase_if(Segments, [](const fs::path &Path) {
+    return Path.filename().string().rfind("segment-", 0) != 0;
+  });
+  std::sort(Segments.begin(), Segments.end());
+  ASSERT_GE(Segments.size(), 3U);
+  {
+    SCOPED_TRACE("a half written batch at the end is left out");
+    const std::string Good = storage::readFile(Segments.back());
+    put(Segments.back(), Good.substr(0, Good.size() - 1));
+    EXPECT_EQ(readHistories(Folder, {}).size(), 2U);
+  }
+  {
+    SCOPED_TRACE("damage before the end is an error, not a gap");
+    const std::string Good = storage::readFile(Segments.front());
+    put(Segments.front(), Good.substr(0, Good.size() - 1));
+    EXPECT_THROW(readHistories(Folder, {}), base::UserError);
+  }
+}
+
 TEST_F(DataFolderTest, AFolderWithoutJournalIsRefused) {
   EXPECT_THROW(verifyFolder(m_Temporary.path().string()), base::UserError);
   EXPECT_THROW(verifyFolder("/no/such/folder"), base::UserError);
