--- a/src/schedule/SchedulerDispatch.cpp
+++ b/src/schedule/SchedulerDispatch.cpp
@@ -17,6 +17,9 @@
 /// Costs learned longer ago than this say nothing any more.
 constexpr double CostMemorySeconds = 30.0;
 
+/// How often the mean costs of a route are worked out again.
+constexpr base::Duration MeanCostsInterval = base::milliseconds(100);
+
 /// A call whose retry would go to the endpoint that failed it waits this long.
 constexpr base::Duration OtherEndpointDelay = base::milliseconds(50);
 
@@ -54,6 +57,13 @@
   return Sum;
 }
 
+void refreshMeanCosts(Route &Target, base::TimePoint Time) {
+  if (Time < Target.m_MeanCosts.m_LearnedAt + MeanCostsInterval)
+    return;
+  Target.m_MeanCosts = meanCosts(Target.targets());
+  Target.m_MeanCosts.m_LearnedAt = Time;
+}
+
 } // namespace
 
 std::vector<Dispatch> Scheduler::takeDispatches(base::TimePoint Time) {
@@ -67,7 +77,7 @@
       Each->advance(Time);
     Target.m_UseElsewhere =
         std::all_of(Target.m_Here.begin(), Target.m_Here.end(), isLeftOut);
-    Target.m_MeanCosts = meanCosts(Target.targets());
+    refreshMeanCosts(Target, Time);
     serveParked(Target, Time);
     serveQueue(Target, Time);
     refuseWithoutEndpoint(Target, Time);
@@ -86,8 +96,11 @@
   if (!m_Delayed.empty())
     Consider(m_Delayed.begin()->first);
   for (const auto &[Service, Each] : m_Routes) {
-    for (const CallNumber Parked : Each.m_Parked)
-      Consider(m_Calls.at(Parked).m_WaitUntil);
+    for (const CallNumber Parked : Each.m_Parked) {
+      const Call &Waiting = m_Calls.at(Parked);
+      if (!Waiting.m_WaitOver)
+        Consider(Waiting.m_WaitUntil);
+    }
     if (Each.m_Queue->size() == 0)
       continue;
     if (Each.m_EmptySince)
@@ -114,6 +127,7 @@
   for (auto &[Service, Each] : m_Routes) {
     Each.m_Here.clear();
     Each.m_Elsewhere.clear();
+    Each.m_MeanCosts = {};
   }
   // An endpoint that has gone is kept while calls are in flight there, or
   // wait for it.
@@ -179,15 +193,15 @@
   for (const CallNumber Number : Waiting) {
     Call &Next = m_Calls.at(Number);
     EndpointTarget &Wanted = m_Targets.at(Next.m_Endpoint);
-    const bool Over = Time >= Next.m_WaitUntil || isLeftOut(&Wanted) ||
-                      !Wanted.endpoint().usable(Time);
-    if (!Over && !Wanted.hasRoom(Time))
+    Next.m_WaitOver = Next.m_WaitOver || Time >= Next.m_WaitUntil ||
+                      isLeftOut(&Wanted) || !Wanted.endpoint().usable(Time);
+    if (!Next.m_WaitOver && !Wanted.hasRoom(Time))
       continue;
     const bool Anywhere =
         std::any_of(Target.targets().begin(), Target.targets().end(),
                     [Time](const auto *Each) { return Each->hasRoom(Time); });
     if (!Anywhere)
-      return;
+      continue;
     std::erase(Target.m_Parked, Number);
     Wanted.unpark();
     place(Target, Next, false, Time);
@@ -222,15 +236,24 @@
   }
 }
 
+const EndpointTarget *
+Scheduler::knownTarget(const base::EndpointId &Endpoint) const {
+  const auto Known = m_Targets.find(Endpoint);
+  return Known == m_Targets.end() ? nullptr : &Known->second;
+}
+
 Scheduler::Choice Scheduler::choose(const Route &Target, const Call &Next,
                                     bool MayWait, base::TimePoint Time) {
   const HeldPrefix *Held = m_Programs.heldPrefix(Next.m_Call.m_Program);
-  const bool AvoidLast =
-      !Next.m_FailedAt.empty() && Target.targets().size() > 1;
+  const EndpointTarget *Home =
+      Held == nullptr ? nullptr : knownTarget(Held->m_Endpoint);
+  const EndpointTarget *Avoided =
+      Next.m_FailedAt.empty() || Target.targets().size() == 1
+          ? nullptr
+          : knownTarget(Next.m_FailedAt);
   bool Anywhere = false;
   m_Candidates.clear();
   for (const EndpointTarget *Each : Target.targets()) {
-    const Endpoint &Announced = Each->endpoint();
     const EndpointCosts &Costs = Each->costs();
     const double Age =
         std::chrono::duration<double>(Time - Costs.m_LearnedAt).count();
@@ -242,9 +265,9 @@
             fadedCost(Costs.m_PerToken, Target.m_MeanCosts.m_PerToken, Age),
         .m_SecondsPerPromptToken = fadedCost(
             Costs.m_PerPromptToken, Target.m_MeanCosts.m_PerPromptToken, Age)};
-    if (AvoidLast && Announced.m_Id == Next.m_FailedAt)
+    if (Each == Avoided)
       Candidate.m_HasRoom = false;
-    else if (Held != nullptr && Held->m_Endpoint == Announced.m_Id &&
+    else if (Each == Home &&
              (Candidate.m_HasRoom || (MayWait && !isLeftOut(Each))))
       Candidate.m_HeldTokens = Held->m_Tokens * Each->prefixHitShare();
     const double Window = Each->window().allowed();
@@ -300,6 +323,7 @@
                      base::TimePoint Time) {
   note(Next, Chosen, Time);
   Next.m_Phase = Phase::Parked;
+  Next.m_WaitOver = false;
   Next.m_Endpoint = Chosen.m_Target->endpoint().m_Id;
   // It waits no longer than computing the prefix elsewhere would take.
   const double Recompute =
