--- a/tests/correctness/ProgramReplicationTest.cpp
+++ b/tests/correctness/ProgramReplicationTest.cpp
@@ -165,6 +165,55 @@
   }
 }
 
+TEST_F(ProgramReplicationTest, RewriteUnderAnOlderBallotDoesNotCount) {
+  ProgramOwner First(m_Program, options("entry-1"));
+  First.create(created(), disks(), m_Now, m_Out);
+  deliver(First, m_First, "bc");
+  ProgramOwner Second(m_Program, options("entry-2"));
+  Second.open(disks(), m_Now, m_Out);
+  deliver(Second, m_Second, "ab");
+  ASSERT_EQ(Second.phase(), OwnerPhase::Leading);
+  {
+    SCOPED_TRACE("the wiped ledger has forgotten the second owner's ballot");
+    m_Ledgers[0].wipe();
+    First.append(started(1), m_Now, m_Out);
+    deliver(First, m_First, "ac");
+    EXPECT_EQ(First.commitIndex(), 1U);
+    EXPECT_TRUE(m_Ledgers[0].replica().find(m_Program)->m_Forgetful);
+  }
+}
+
+TEST_F(ProgramReplicationTest, OlderEntryCommitsOnlyThroughAnOwnOne) {
+  ProgramOwner First(m_Program, options("entry-1"));
+  First.create(created(), disks(), m_Now, m_Out);
+  deliver(First, m_First, "abc");
+  {
+    SCOPED_TRACE("a turn that fills an append reaches one ledger");
+    messages::ProgramEntry Large = started(1);
+    Large.mutable_turn_started()->mutable_request()->set_body(
+        std::string(5U << 20U, 'x'));
+    First.append(Large, m_Now, m_Out);
+    deliver(First, m_First, "a");
+  }
+  ProgramOwner Second(m_Program, options("entry-2"));
+  m_NoAppendsTo = "c";
+  Second.open(disks(), m_Now, m_Out);
+  deliver(Second, m_Second, "ac");
+  ASSERT_EQ(Second.phase(), OwnerPhase::Leading);
+  ASSERT_EQ(Second.lastIndex(), 3U);
+  {
+    SCOPED_TRACE("a majority has the turn, but not the owner's first entry");
+    m_NoAppendsTo.clear();
+    tick(Second);
+    for (const messages::Outgoing &Message : m_Out.take())
+      deliverOne(Second, m_Second, "c", Message);
+    EXPECT_EQ(m_Ledgers[2].replica().find(m_Program)->lastIndex(), 2U);
+    EXPECT_EQ(Second.commitIndex(), 0U);
+  }
+  deliver(Second, m_Second, "c");
+  EXPECT_EQ(Second.commitIndex(), 3U);
+}
+
 TEST_F(ProgramReplicationTest, PromisesOfOneMajorityStandAtTheSameTime) {
   ProgramOwner Creator(m_Program, options("entry-0"));
   Creator.create(created(), disks(), m_Now, m_Out);
