Withdrawals reach the control log; inspect and report against a running fleet

Cause: on a running fleet, key list showed a withdrawn key as not withdrawn: withdraw_key only spread it among the entry instances, whose set is in memory, so a restart of all of them would have made the key valid again. The server now submits the withdrawal to the control log after it was spread, and says when the log doesn't hold it yet; pspctl then exits with 3 and asks for a resend. Ruled out: submitting first, since a cut-off data centre would wait for a quorum before the key stopped. Status names the peers that an instance can't reach.

Conclusion: a withdrawal survives a restart once pspctl exits with 0.

--- a/src/ctl/ControlCommands.cpp
+++ b/src/ctl/ControlCommands.cpp
@@ -48,6 +48,16 @@
   return Key;
 }
 
+/// The peers that an instance can't reach, by name.
+Json::Value unreachablePeers(const Json::Value &Status) {
+  Json::Value Names(Json::arrayValue);
+  for (const Json::Value &Peer : Status["peers"]) {
+    if (!Peer["reachable"].asBool())
+      Names.append(Peer["instance"]);
+  }
+  return Names;
+}
+
 } // namespace
 
 ExitCode applyDocument(const Session &Run, const std::string &File) {
@@ -85,6 +95,7 @@
     try {
       Row = Run.callTarget(Target, "status", Json::objectValue);
       Row["reachable"] = true;
+      Row["unreachable_peers"] = unreachablePeers(Row);
       AnyAnswered = true;
     } catch (const RpcUnreachable &Error) {
       Row["reachable"] = false;
@@ -96,7 +107,8 @@
     }
     Result["instances"].append(Row);
   }
-  std::vector<std::string> Columns = {"target", "instance", "reachable"};
+  std::vector<std::string> Columns = {"target", "instance", "reachable",
+                                      "unreachable_peers"};
   for (const std::string &Column : Columns)
     Members.erase(Column);
   Columns.insert(Columns.end(), Members.begin(), Members.end());
@@ -142,9 +154,14 @@
 ExitCode withdrawKey(const Session &Run, const std::string &KeyId) {
   Json::Value Parameters;
   Parameters["key_id"] = KeyId;
-  Run.showLine(Run.call("withdraw_key", Parameters),
-               "key " + KeyId + " withdrawn");
-  return ExitCode::Done;
+  const Json::Value Result = Run.call("withdraw_key", Parameters);
+  Run.showLine(Result, "key " + KeyId + " withdrawn");
+  if (Result["recorded"].asBool())
+    return ExitCode::Done;
+  Run.error() << "pspctl: the control log doesn't hold the withdrawal yet ("
+              << Result["detail"].asString()
+              << "); withdraw the key again once a quorum can be reached\n";
+  return ExitCode::Unreachable;
 }
 
 ExitCode listKeys(const Session &Run) {
--- a/src/operators/OperatorServer.cpp
+++ b/src/operators/OperatorServer.cpp
@@ -245,6 +245,28 @@
     m_Handler.withdrawKey(Call, base::KeyId(Key));
     Output["key_id"] = Key;
     Output["withdrawn"] = true;
+    const std::string Problem = recordWithdrawal(Call, Key);
+    Output["recorded"] = Problem.empty();
+    Output["detail"] = Problem;
+  }
+
+  /// Puts the withdrawal into the control log too, without which it would be
+  /// forgotten once every instance that heard of it had restarted. Returns
+  /// what went wrong, or nothing; a data centre that is cut off can't do it.
+  std::string recordWithdrawal(const OperatorCall &Call,
+                               const std::string &Key) {
+    messages::ControlCommand Command;
+    Command.set_request_id(Call.m_RequestId);
+    Command.set_operator_name(Call.m_Operator);
+    Command.mutable_withdraw_key()->set_key_id(Key);
+    try {
+      const auto Result = m_Handler.submit(Call, Command);
+      return Result.accepted() ? ""
+                               : Result.error_kind() + ": " + Result.detail();
+    } catch (const base::UserError &Error) {
+      return std::string(base::errorAnswer(Error.kind()).m_Name) + ": " +
+             Error.what();
+    }
   }
 
   base::Digest m_Token;
--- a/src/programs/entry/EntryProcess.cpp
+++ b/src/programs/entry/EntryProcess.cpp
@@ -54,6 +54,7 @@
 
   std::string status() override;
   std::string dump() override;
+  std::string metrics() override;
   messages::Configuration configuration() override;
   std::vector<messages::Key> keys() override;
   std::vector<messages::EndpointState> endpoints() override;
@@ -192,6 +193,10 @@
       [](EntryCore &Core) { return Core.dump(readClocks()); });
 }
 
+std::string EntryProcess::Impl::metrics() {
+  return ask<std::string>([](EntryCore &Core) { return Core.metrics(); });
+}
+
 messages::Configuration EntryProcess::Impl::configuration() {
   return ask<messages::Configuration>(
       [](EntryCore &Core) { return Core.control().configuration(); });
--- a/src/programs/ledger/LedgerProcess.cpp
+++ b/src/programs/ledger/LedgerProcess.cpp
@@ -7,6 +7,7 @@
 #include "net/TaskRing.h"
 #include "operators/OperatorHandler.h"
 #include "operators/OperatorServer.h"
+#include "records/VerifyFolder.h"
 #include "storage/FileJournal.h"
 #include "storage/FolderIdentity.h"
 
@@ -56,6 +57,8 @@
   std::string dump() override;
   messages::Configuration configuration() override;
   std::vector<messages::Key> keys() override;
+  std::vector<records::ProgramHistory>
+  histories(const records::RecordFilter &Filter) override;
   messages::ControlResult
   submit(const operators::OperatorCall &Call,
          const messages::ControlCommand &Command) override;
@@ -223,6 +226,13 @@
   });
 }
 
+/// Read from the journal, which also holds the programs that have ended, on
+/// the operators' thread, so that no decision waits for it.
+std::vector<records::ProgramHistory>
+LedgerProcess::Impl::histories(const records::RecordFilter &Filter) {
+  return records::readHistories((m_Folder / "programs").string(), Filter);
+}
+
 messages::ControlResult
 LedgerProcess::Impl::submit(const operators::OperatorCall &,
                             const messages::ControlCommand &Command) {
--- a/tests/correctness/CommandTest.cpp
+++ b/tests/correctness/CommandTest.cpp
@@ -114,6 +114,15 @@
     EXPECT_TRUE(printed(Key.key_id()));
     EXPECT_EQ(run({"key", "withdraw", Key.key_id()}), ExitCode::Done);
     EXPECT_EQ(m_Handler.m_Withdrawn, std::vector<std::string>{Key.key_id()});
+    EXPECT_EQ(m_Handler.m_Commands.back().withdraw_key().key_id(),
+              Key.key_id());
+  }
+  {
+    SCOPED_TRACE("what the control log doesn't hold yet is said");
+    m_Handler.m_Refusal = "quorum-unavailable";
+    EXPECT_EQ(run({"key", "withdraw", "k-2"}), ExitCode::Unreachable);
+    EXPECT_TRUE(complained("quorum-unavailable"));
+    EXPECT_EQ(m_Handler.m_Withdrawn.back(), "k-2");
   }
 }
 
@@ -122,6 +131,8 @@
   EXPECT_EQ(run({"status"}), ExitCode::Done);
   EXPECT_TRUE(printed("configuration_number"));
   EXPECT_TRUE(printed("false"));
+  EXPECT_TRUE(printed("b-1"));
+  EXPECT_FALSE(printed("a-2"));
   EXPECT_EQ(run({"key", "list"}), ExitCode::Done) << "the next target is tried";
   m_Options.m_Targets = {"127.0.0.1:1"};
   EXPECT_EQ(run({"status"}), ExitCode::Unreachable);
--- a/tests/support/FakeOperatorHandler.h
+++ b/tests/support/FakeOperatorHandler.h
@@ -15,7 +15,9 @@
 class FakeOperatorHandler : public operators::OperatorHandler {
 public:
   std::string status() override {
-    return R"({"instance":"a-1","role":"entry","configuration_number":7})";
+    return R"({"instance":"a-1","role":"entry","configuration_number":7,)"
+           R"("peers":[{"instance":"a-2","reachable":true},)"
+           R"({"instance":"b-1","reachable":false}]})";
   }
   std::string dump() override { return R"({"instance":"a-1"})"; }
   std::string metrics() override { return m_Metrics; }
