--- a/src/programs/ledger/LedgerProcess.cpp
+++ b/src/programs/ledger/LedgerProcess.cpp
@@ -57,12 +57,13 @@
   std::string dump() override;
   messages::Configuration configuration() override;
   std::vector<messages::Key> keys() override;
-  std::vector<records::ProgramHistory>
-  histories(const records::RecordFilter &Filter) override;
   messages::ControlResult
   submit(const operators::OperatorCall &Call,
          const messages::ControlCommand &Command) override;
 
+  std::vector<records::ProgramHistory>
+  histories(const records::RecordFilter &Filter) override;
+
   template <typename Result, typename Query> Result ask(Query Question) {
     return m_Tasks.call<Result>(
         [this, Question](std::shared_ptr<std::promise<Result>> Promise) {
