--- a/src/programs/ledger/LedgerProcess.cpp
+++ b/src/programs/ledger/LedgerProcess.cpp
@@ -7,6 +7,7 @@
 #include "net/TaskRing.h"
 #include "operators/OperatorHandler.h"
 #include "operators/OperatorServer.h"
+#include "records/VerifyFolder.h"
 #include "storage/FileJournal.h"
 #include "storage/FolderIdentity.h"
 
@@ -226,21 +227,11 @@
   });
 }
 
+/// Read from the journal, which also holds the programs that have ended, on
+/// the operators' thread, so that no decision waits for it.
 std::vector<records::ProgramHistory>
 LedgerProcess::Impl::histories(const records::RecordFilter &Filter) {
-  return ask<std::vector<records::ProgramHistory>>([Filter](LedgerCore &Core) {
-    std::vector<records::ProgramHistory> Found;
-    for (const auto &[Program, Held] : Core.programs().programs()) {
-      if (Found.size() >= Filter.m_MaxRecords)
-        break;
-      const bool Wanted =
-          Filter.m_Program.empty() || Filter.m_Program.str() == Program;
-      if (Wanted && !Held.m_Entries.empty())
-        Found.push_back({.m_Program = base::ProgramId(Program),
-                         .m_Entries = Held.m_Entries});
-    }
-    return Found;
-  });
+  return records::readHistories((m_Folder / "programs").string(), Filter);
 }
 
 messages::ControlResult
