Leave programs of living owners alone; stream from endpoints always

Cause 1: a planned stop still cut one of four streams (process test, twice). The other instances saw the stopping one leave the set of active entries, listed its programs and adopted them at once, which fenced the owner off while it finished its calls. Ledgers now say who last led each program, and only programs of an owner that can't be reached, or of an earlier run of the instance itself, are adopted. Endpoints are now always asked to stream. Cause 3: a refusal for a withdrawn key said run unknown though nothing had been sent. A call that had been handed over is now ended as interrupted or unknown, and key-withdrawn means that the call did not run. Cause 4, in the test: an instance was restarted before the killed process had let go of its port.

--- a/src/base/ErrorKind.cpp
+++ b/src/base/ErrorKind.cpp
@@ -16,7 +16,7 @@
                 "The request body is too large"},
     ErrorAnswer{Unauthenticated, "unauthenticated", 401, No, 0,
                 "The request carries no valid key"},
-    ErrorAnswer{KeyWithdrawn, "key-withdrawn", 401, Unknown, 0,
+    ErrorAnswer{KeyWithdrawn, "key-withdrawn", 401, No, 0,
                 "The key was withdrawn"},
     ErrorAnswer{Forbidden, "forbidden", 403, No, 0,
                 "The key's organisation may not do this"},
--- a/src/entry/Adoption.cpp
+++ b/src/entry/Adoption.cpp
@@ -1,5 +1,6 @@
 #include "entry/Adoption.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace psp::entry {
@@ -19,12 +20,23 @@
                    program::ProgramTable &Programs)
     : m_Self(std::move(Self)), m_Owners(Owners), m_Programs(Programs) {}
 
+bool Adoption::isOrphan(const program::ListedProgram &Listed,
+                        const OwnershipView &View, base::TimePoint Now) const {
+  // An earlier run of this instance led it.
+  if (Listed.m_Owner == m_Self)
+    return m_Programs.find(Listed.m_Program) == nullptr;
+  const auto &Alive = View.m_Alive;
+  if (std::find(Alive.begin(), Alive.end(), Listed.m_Owner) != Alive.end())
+    return false;
+  const auto Owner = m_Owners.ownerOf(Listed.m_Program, Now);
+  return Owner && Owner->m_Instance == m_Self;
+}
+
 void Adoption::onTick(const OwnershipView &View, base::Now Time,
                       messages::Outbox &Out) {
-  for (const base::ProgramId &Program : m_Programs.takeListed()) {
-    const auto Owner = m_Owners.ownerOf(Program, Time.m_Monotonic);
-    if (Owner && Owner->m_Instance == m_Self)
-      m_Programs.adopt(Program, Time, Out);
+  for (const program::ListedProgram &Listed : m_Programs.takeListed()) {
+    if (isOrphan(Listed, View, Time.m_Monotonic))
+      m_Programs.adopt(Listed.m_Program, Time, Out);
   }
   if (View.m_Ledgers.empty())
     return;
--- a/src/entry/Adoption.h
+++ b/src/entry/Adoption.h
@@ -3,6 +3,10 @@
 /// when another instance of the data centre died or left, and when the data
 /// centre takes a home over. Without it, engine memory of programs whose owner
 /// died would stay held until a caller asks for them again.
+///
+/// A program is left alone while the instance that last led it can be reached,
+/// also when that one is stopping: opening the program here would fence it off
+/// and cut the call that it still finishes.
 
 #ifndef PSP_ENTRY_ADOPTION_H
 #define PSP_ENTRY_ADOPTION_H
@@ -19,7 +23,7 @@
 
 /// What the choice of owners rests on.
 struct OwnershipView {
-  std::vector<base::InstanceId> m_Entries; ///< Active, of this data centre.
+  std::vector<base::InstanceId> m_Alive;   ///< Entries that can be reached.
   std::vector<base::DataCentreId> m_Homes; ///< Served by this data centre.
   std::vector<base::InstanceId> m_Ledgers; ///< Reachable, nearest first.
 
@@ -34,6 +38,9 @@
   void onTick(const OwnershipView &View, base::Now Time, messages::Outbox &Out);
 
 private:
+  bool isOrphan(const program::ListedProgram &Listed, const OwnershipView &View,
+                base::TimePoint Now) const;
+
   base::InstanceId m_Self;
   const OwnerDirectory &m_Owners;
   program::ProgramTable &m_Programs;
--- a/src/entry/EdgeCalls.cpp
+++ b/src/entry/EdgeCalls.cpp
@@ -341,7 +341,10 @@
     if (Call.m_Call.m_Key.empty() || !IsWithdrawn(Call.m_Call.m_Key))
       continue;
     cancelAtOwner(Current->first, Call, Out);
-    fail(Current->first, Call, ErrorKind::KeyWithdrawn,
+    // A call that was handed over may have run, which the kind must not deny.
+    const ErrorKind Kind = Call.m_EverHanded ? kindOfSilence(Call.m_Call)
+                                             : ErrorKind::KeyWithdrawn;
+    fail(Current->first, Call, Kind,
          "the key was withdrawn while the call was under way",
          Duration::zero());
   }
--- a/src/entry/EntryCore.cpp
+++ b/src/entry/EntryCore.cpp
@@ -378,7 +378,10 @@
 
 OwnershipView EntryCore::ownershipView(TimePoint Now) const {
   OwnershipView View;
-  View.m_Entries = m_Members.activeEntries(m_DataCentre, Now);
+  for (const InstanceId &Entry : m_Members.peersOf(PeerRole::Entry)) {
+    if (m_Members.isReachable(Entry, Now))
+      View.m_Alive.push_back(Entry);
+  }
   for (const DataCentreId &Home : m_Members.dataCentres()) {
     if (control().servedBy(Home) == m_DataCentre)
       View.m_Homes.push_back(Home);
--- a/src/entry/EntryCore.h
+++ b/src/entry/EntryCore.h
@@ -48,6 +48,9 @@
   std::vector<EndpointOrderOutcome> m_Orders;
 };
 
+/// One counter in the Prometheus text format.
+std::string counter(const std::string &Name, std::uint64_t Value);
+
 class EntryCore final : public OwnerDirectory {
 public:
   explicit EntryCore(EntryCoreOptions Options);
--- a/src/entry/EntryReport.cpp
+++ b/src/entry/EntryReport.cpp
@@ -48,14 +48,13 @@
   return Calls;
 }
 
-/// One counter in the Prometheus text format.
+} // namespace
+
 std::string counter(const std::string &Name, std::uint64_t Value) {
   return "# TYPE " + Name + " counter\n" + Name + " " + std::to_string(Value) +
          "\n";
 }
 
-} // namespace
-
 std::string EntryCore::status(base::Now Time) const {
   const json Status = {
       {"instance", m_Self.str()},
--- a/src/net/PeerMesh.cpp
+++ b/src/net/PeerMesh.cpp
@@ -12,7 +12,8 @@
 #include <boost/asio/write.hpp>
 #include <glog/logging.h>
 
-#include <deque>
+#include <array>
+#include <atomic>
 #include <map>
 #include <optional>
 #include <utility>
@@ -40,6 +41,15 @@
   class OutgoingLink;
   class IncomingLink;
 
+  /// Read by other threads for metrics.
+  struct Counters {
+    std::atomic<std::uint64_t> m_FramesSent{0};
+    std::atomic<std::uint64_t> m_BytesSent{0};
+    std::atomic<std::uint64_t> m_FramesReceived{0};
+    std::atomic<std::uint64_t> m_FramesDropped{0};
+    std::atomic<std::uint64_t> m_FramesRefused{0};
+  };
+
   Impl(PeerMeshOptions Options, asio::io_context &Context, Receiver Receive)
       : m_Options(std::move(Options)), m_Context(Context),
         m_Receive(std::move(Receive)), m_Acceptor(Context) {}
@@ -54,7 +64,7 @@
   std::map<base::InstanceId, std::shared_ptr<OutgoingLink>> m_Links;
   std::set<base::InstanceId> m_Known;
   std::set<base::InstanceId> m_Blocked;
-  PeerMeshCounters m_Counters;
+  Counters m_Counters;
 };
 
 /// The connection that carries this process's messages to one peer.
@@ -310,6 +320,13 @@
   m_Impl->m_Blocked = std::move(Instances);
 }
 
-PeerMeshCounters PeerMesh::counters() const { return m_Impl->m_Counters; }
+PeerMeshCounters PeerMesh::counters() const {
+  const Impl::Counters &Counters = m_Impl->m_Counters;
+  return {.m_FramesSent = Counters.m_FramesSent,
+          .m_BytesSent = Counters.m_BytesSent,
+          .m_FramesReceived = Counters.m_FramesReceived,
+          .m_FramesDropped = Counters.m_FramesDropped,
+          .m_FramesRefused = Counters.m_FramesRefused};
+}
 
 } // namespace psp::net
--- a/src/net/PeerMesh.h
+++ b/src/net/PeerMesh.h
@@ -59,6 +59,7 @@
   /// Drops everything from and to \p Instances, for failure tests.
   void block(std::set<base::InstanceId> Instances);
 
+  /// May be called on any thread.
   PeerMeshCounters counters() const;
 
 private:
--- a/src/net/PeerPort.h
+++ b/src/net/PeerPort.h
@@ -35,6 +35,8 @@
   /// Drops everything from and to \p Instances, for failure tests.
   void block(std::set<base::InstanceId> Instances);
 
+  PeerMeshCounters counters() const { return m_Mesh.counters(); }
+
   /// Messages that arrived while the deciding thread was too far behind.
   std::uint64_t dropped() const { return m_Incoming.refused(); }
 
--- a/src/program/Conversation.cpp
+++ b/src/program/Conversation.cpp
@@ -85,6 +85,7 @@
   Messages.insert(Messages.end(), Chat["messages"].begin(),
                   Chat["messages"].end());
   Chat["messages"] = std::move(Messages);
+  Chat["stream"] = true;
   return dump(Chat);
 }
 
--- a/src/program/Conversation.h
+++ b/src/program/Conversation.h
@@ -27,8 +27,8 @@
 /// {"content":"hi","role":"user"}
 std::string newMessages(std::string_view Body);
 
-/// \p Body with the messages of \p History in front of its own. Throws like
-/// newMessages.
+/// \p Body with the messages of \p History in front of its own. Endpoints are
+/// always asked to stream, whatever the caller wants. Throws like newMessages.
 std::string withHistory(std::string_view Body, std::string_view History);
 
 /// The assistant's message in \p Answer: from a chat completion, from a stream
--- a/src/program/ProgramCalls.h
+++ b/src/program/ProgramCalls.h
@@ -86,6 +86,14 @@
   bool operator==(const UnknownOutcome &) const = default;
 };
 
+/// A program on a ledger's list, and the instance that last led it.
+struct ListedProgram {
+  base::ProgramId m_Program{};
+  base::InstanceId m_Owner{};
+
+  auto operator<=>(const ListedProgram &) const = default;
+};
+
 } // namespace psp::program
 
 #endif
--- a/src/program/ProgramReplica.cpp
+++ b/src/program/ProgramReplica.cpp
@@ -137,6 +137,7 @@
       return;
     }
     Reply.add_programs(Program);
+    Reply.add_owners(Held.m_Promised.instance());
   }
 }
 
--- a/src/program/ProgramTable.cpp
+++ b/src/program/ProgramTable.cpp
@@ -3,6 +3,7 @@
 #include "base/Error.h"
 #include "program/Outcome.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace psp::program {
@@ -203,7 +204,7 @@
   Out.add(Ledger).mutable_program()->mutable_list()->set_home(Home.str());
 }
 
-std::vector<base::ProgramId> ProgramTable::takeListed() {
+std::vector<ListedProgram> ProgramTable::takeListed() {
   return std::exchange(m_Listed, {});
 }
 
@@ -227,8 +228,11 @@
   }
   if (Message.has_list_reply()) {
     const messages::ProgramListReply &Reply = Message.list_reply();
-    for (const std::string &Program : Reply.programs())
-      m_Listed.emplace_back(Program);
+    const int Count = std::min(Reply.programs_size(), Reply.owners_size());
+    for (int I = 0; I < Count; ++I) {
+      m_Listed.push_back({.m_Program = base::ProgramId(Reply.programs(I)),
+                          .m_Owner = base::InstanceId(Reply.owners(I))});
+    }
     if (Reply.more() && Reply.programs_size() > 0) {
       auto &Next = *Out.add(From).mutable_program()->mutable_list();
       Next.set_home(Reply.home());
--- a/src/program/ProgramTable.h
+++ b/src/program/ProgramTable.h
@@ -104,7 +104,7 @@
   /// at the start, after another instance died, and after a takeover of a home.
   void list(const base::InstanceId &Ledger, const base::DataCentreId &Home,
             messages::Outbox &Out);
-  std::vector<base::ProgramId> takeListed();
+  std::vector<ListedProgram> takeListed();
 
   /// Gives the program up: a planned stop, or another instance owns it now.
   /// Calls that were not sent are refused as not run.
@@ -148,7 +148,7 @@
   HomeLease m_HomeLease;
   std::uint64_t m_ProbeSequence = 0;
   base::TimePoint m_ProbeSent;
-  std::vector<base::ProgramId> m_Listed;
+  std::vector<ListedProgram> m_Listed;
   LedgerDisks m_Disks;
   std::unordered_map<base::ProgramId, std::unique_ptr<OwnedProgram>> m_Programs;
   std::unordered_map<CallNumber, base::ProgramId> m_ProgramOfCall;
--- a/src/programs/entry/EntryProcess.cpp
+++ b/src/programs/entry/EntryProcess.cpp
@@ -259,7 +259,15 @@
 }
 
 std::string EntryProcess::Impl::metrics() {
-  return ask<std::string>([](EntryCore &Core) { return Core.metrics(); });
+  const net::PeerMeshCounters Links = m_Peers.counters();
+  return ask<std::string>([](EntryCore &Core) { return Core.metrics(); }) +
+         entry::counter("psp_peer_frames_sent_total", Links.m_FramesSent) +
+         entry::counter("psp_peer_bytes_sent_total", Links.m_BytesSent) +
+         entry::counter("psp_peer_frames_received_total",
+                        Links.m_FramesReceived) +
+         entry::counter("psp_peer_frames_dropped_total",
+                        Links.m_FramesDropped + m_Peers.dropped()) +
+         entry::counter("psp_peer_frames_refused_total", Links.m_FramesRefused);
 }
 
 std::vector<operators::UnknownOrder> EntryProcess::Impl::unknownOrders() {
--- a/tests/correctness/ProgramRandomTest.cpp
+++ b/tests/correctness/ProgramRandomTest.cpp
@@ -389,7 +389,7 @@
 std::pair<std::uint64_t, std::uint64_t> seedRange() {
   const char *Text = std::getenv("PSP_PROGRAM_SEEDS");
   if (Text == nullptr)
-    return {1, 10};
+    return {1, 20};
   const std::string Value(Text);
   const std::size_t Colon = Value.find(':');
   return {std::stoull(Value), std::stoull(Value.substr(Colon + 1))};
--- a/tests/process/failures.py
+++ b/tests/process/failures.py
@@ -33,6 +33,17 @@
         for turn, name in enumerate(sorted(FLEET.ports), start=1):
             self.assertEqual(FLEET.chat(name, program, turn).status, 200)
 
+    def test_an_answer_comes_whole_without_a_stream(self):
+        program = FLEET.create()
+        body = json.dumps({"model": "screen-template", "max_tokens": 8,
+                           "messages": [{"role": "user", "content": "part 1"}]})
+        headers = {"Program-Id": program, "Program-Turn": "1"}
+        answer = FLEET.request("haichau-1", "POST", "/v1/chat/completions",
+                               headers=headers, body=body)
+        self.assertEqual(answer.status, 200, answer.body)
+        text = answer.json()["choices"][0]["message"]["content"]
+        self.assertEqual(text, FLEET.chat("sontra-1", program, 1).text())
+
     def test_the_same_turn_gets_the_recorded_answer(self):
         program = FLEET.create()
         first = FLEET.chat("haichau-1", program, 1).text()
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -94,14 +94,20 @@
         os.kill(self.pids[name], number)
 
     def is_running(self, name):
+        """False once the process has ended, whoever has to reap it."""
         try:
-            done, _ = os.waitpid(self.pids[name], os.WNOHANG)
-            return done == 0
+            os.waitpid(self.pids[name], os.WNOHANG)
         except ChildProcessError:
-            return pathlib.Path(f"/proc/{self.pids[name]}").exists()
+            pass
+        try:
+            stat = pathlib.Path(f"/proc/{self.pids[name]}/stat").read_text()
+        except OSError:
+            return False
+        return stat.rsplit(")", 1)[1].split()[0] not in ("Z", "X")
 
     def restart(self, name):
         """Starts an entry instance or a ledger again after it was killed."""
+        self.until(lambda: not self.is_running(name))
         program = "psp-ledger" if name.endswith("ledger") else "psp-entry"
         with open(DATA / f"{name}.log", "a") as log:
             process = subprocess.Popen(
