Control log: names looked up by index, tests of one ledger cut off

Cause: every request looks its organisation and service up, and the lookup went over the whole list. And no test said that a cut-off voter comes back without an election.

--- a/src/control/ControlState.cpp
+++ b/src/control/ControlState.cpp
@@ -125,11 +125,22 @@
                     "number: expected a number above " +
                         std::to_string(m_Configuration.number()) + ", found " +
                         std::to_string(Next.number()));
-  m_Configuration = Next;
-  m_ConfigurationIndex = Answer.index();
+  setConfiguration(Next, Answer.index());
   Answer.set_number(Next.number());
 }
 
+void ControlState::setConfiguration(const messages::Configuration &Next,
+                                    std::uint64_t Index) {
+  m_Configuration = Next;
+  m_ConfigurationIndex = Index;
+  m_Organisations.clear();
+  for (int I = 0; I < Next.organisations_size(); ++I)
+    m_Organisations[Next.organisations(I).name()] = I;
+  m_Services.clear();
+  for (int I = 0; I < Next.services_size(); ++I)
+    m_Services[Next.services(I).name()] = I;
+}
+
 void ControlState::giveKey(const messages::Key &Key) {
   requireText(Key.key_id(), "key.key_id");
   base::Digest KeyDigest = digestFromBytes(Key.digest(), "key.digest");
@@ -209,18 +220,17 @@
 
 const messages::Organisation *
 ControlState::findOrganisation(const base::OrganisationId &Organisation) const {
-  for (const messages::Organisation &Each : m_Configuration.organisations())
-    if (Each.name() == Organisation.str())
-      return &Each;
-  return nullptr;
+  auto Found = m_Organisations.find(Organisation.str());
+  return Found == m_Organisations.end()
+             ? nullptr
+             : &m_Configuration.organisations(Found->second);
 }
 
 const messages::Service *
 ControlState::findService(std::string_view Name) const {
-  for (const messages::Service &Each : m_Configuration.services())
-    if (Each.name() == Name)
-      return &Each;
-  return nullptr;
+  auto Found = m_Services.find(Name);
+  return Found == m_Services.end() ? nullptr
+                                   : &m_Configuration.services(Found->second);
 }
 
 const messages::Key *
@@ -270,8 +280,8 @@
   ControlState Restored;
   Restored.m_AppliedIndex = Snapshot.applied_index();
   Restored.m_Digest = digestFromBytes(Snapshot.digest(), "digest");
-  Restored.m_Configuration = Snapshot.configuration();
-  Restored.m_ConfigurationIndex = Snapshot.configuration_index();
+  Restored.setConfiguration(Snapshot.configuration(),
+                            Snapshot.configuration_index());
   for (const messages::Key &Key : Snapshot.keys()) {
     Restored.m_Keys[Key.key_id()] = Key;
     // A key that was withdrawn before it was given has no digest.
--- a/src/control/ControlState.h
+++ b/src/control/ControlState.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -75,6 +76,8 @@
   void remember(const std::string &RequestId, const std::string &CommandDigest,
                 const Result &Answer);
   void execute(const messages::ControlCommand &Command, Result &Answer);
+  void setConfiguration(const messages::Configuration &Next,
+                        std::uint64_t Index);
   void putConfiguration(const messages::Configuration &Next, Result &Answer);
   void giveKey(const messages::Key &Key);
   void withdrawKey(const std::string &KeyId);
@@ -85,6 +88,9 @@
   base::Digest m_Digest{};
   messages::Configuration m_Configuration;
   std::uint64_t m_ConfigurationIndex = 0;
+  /// Positions in the configuration, as every request looks names up.
+  std::map<std::string, int, std::less<>> m_Organisations;
+  std::map<std::string, int, std::less<>> m_Services;
   std::map<std::string, messages::Key> m_Keys;      ///< By key identifier.
   std::map<base::Digest, std::string> m_KeyDigests; ///< To key identifiers.
   std::map<std::string, messages::Home> m_Homes;
--- a/src/control/Learner.h
+++ b/src/control/Learner.h
@@ -43,7 +43,7 @@
 
   const ControlState &state() const { return m_State; }
 
-  /// False until the first configuration is known.
+  /// False until anything that was committed is known.
   bool hasState() const { return m_State.appliedIndex() > 0; }
 
   /// When the leader's side was last known to stand where this state stands
--- a/tests/support/ControlFaults.cpp
+++ b/tests/support/ControlFaults.cpp
@@ -172,6 +172,16 @@
   }
 }
 
+std::size_t ControlSimulation::leader() const {
+  std::size_t Leader = m_VoterIds.size();
+  for (std::size_t I = 0; I < m_VoterIds.size(); ++I)
+    if (voter(I).isLeader() &&
+        (Leader == m_VoterIds.size() || voter(I).term() > voter(Leader).term()))
+      Leader = I;
+  require(Leader < m_VoterIds.size(), "expected a leader, found none");
+  return Leader;
+}
+
 void ControlSimulation::healAndCheck(Duration Length) {
   m_IsHealed = true;
   for (auto &Each : m_Nodes)
--- a/tests/support/ControlSimulation.h
+++ b/tests/support/ControlSimulation.h
@@ -58,6 +58,16 @@
 
   const SimulationCounts &counts() const { return m_Counts; }
 
+  /// The voter that leads in the highest term; there must be one.
+  std::size_t leader() const;
+  const control::LogVoter &voter(std::size_t Index) const {
+    return *m_Nodes[Index]->m_Voter;
+  }
+
+  /// Cuts \p Index off from everyone else.
+  void cutOff(std::size_t Index) { m_Nodes[Index]->m_Side = 1; }
+  void reconnect(std::size_t Index) { m_Nodes[Index]->m_Side = 0; }
+
 private:
   struct Event {
     base::Duration m_At{};
