--- a/src/limits/RateTable.cpp
+++ b/src/limits/RateTable.cpp
@@ -2,11 +2,20 @@
 
 #include "base/Error.h"
 
+#include <algorithm>
+
 namespace psp::limits {
 namespace {
 
+/// Largest rate and burst that are counted, in tokens.
+constexpr double MostTokens = 1e6;
+
+/// Anything that is not a positive number counts as zero.
 MicroTokens toMicro(double Tokens) {
-  return static_cast<MicroTokens>(Tokens * static_cast<double>(OneToken));
+  if (!(Tokens > 0))
+    return 0;
+  return static_cast<MicroTokens>(std::min(Tokens, MostTokens) *
+                                  static_cast<double>(OneToken));
 }
 
 MicroTokens reduced(MicroTokens Rate, double ClockDrift) {
--- a/tests/limits.cmake
+++ b/tests/limits.cmake
@@ -1,6 +1,7 @@
 psp_test(limits_basics correctness/LimitsBasicsTest.cpp USES psp_limits)
 psp_test(limits_window correctness/LimitsWindowTest.cpp USES psp_limits)
 psp_test(limits_token correctness/LimitsTokenTest.cpp USES psp_limits)
+psp_test(limits_client correctness/LimitsClientTest.cpp USES psp_limits)
 psp_test(limits_lease correctness/LimitsLeaseTest.cpp USES psp_limits)
 psp_benchmark(limits_benchmark performance/LimiterBenchmark.cpp USES psp_limits)
 
