--- a/tests/performance/ScheduleExperiment.cpp
+++ b/tests/performance/ScheduleExperiment.cpp
@@ -74,7 +74,7 @@
   Setup Case{.m_Deployment = User, .m_Load = Load};
   Case.m_Name = "queue fair";
   runSeeds(Results, Case);
-  Case.m_Name = "queue fair, call age";
+  Case.m_Name = "queue fair call-age";
   Case.m_Queue.m_AgeFromProgramStart = false;
   runSeeds(Results, Case);
   Case.m_Name = "queue first-come";
@@ -105,10 +105,11 @@
 
 void showOutage(Table &Results, const Deployment &User) {
   for (const bool Protected : {true, false}) {
+    const QueueOrder Order =
+        Protected ? QueueOrder::Fair : QueueOrder::FirstCome;
     const Setup Case{.m_Deployment = User,
                      .m_Name = Protected ? "outage protected" : "outage bare",
-                     .m_Queue =
-                         Protected ? QueueOrder::Fair : QueueOrder::FirstCome,
+                     .m_Queue = {.m_Order = Order},
                      .m_Load = 0.8,
                      .m_Outage = true,
                      .m_Protected = Protected};
