--- a/src/programs/ledger/LedgerProcess.cpp
+++ b/src/programs/ledger/LedgerProcess.cpp
@@ -7,6 +7,7 @@
 #include "net/TaskRing.h"
 #include "operators/OperatorHandler.h"
 #include "operators/OperatorServer.h"
+#include "records/VerifyFolder.h"
 #include "storage/FileJournal.h"
 #include "storage/FolderIdentity.h"
 
@@ -60,6 +61,9 @@
   submit(const operators::OperatorCall &Call,
          const messages::ControlCommand &Command) override;
 
+  std::vector<records::ProgramHistory>
+  histories(const records::RecordFilter &Filter) override;
+
   template <typename Result, typename Query> Result ask(Query Question) {
     return m_Tasks.call<Result>(
         [this, Question](std::shared_ptr<std::promise<Result>> Promise) {
@@ -223,6 +227,13 @@
   });
 }
 
+/// Read from the journal, which also holds the programs that have ended, on
+/// the operators' thread, so that no decision waits for it.
+std::vector<records::ProgramHistory>
+LedgerProcess::Impl::histories(const records::RecordFilter &Filter) {
+  return records::readHistories((m_Folder / "programs").string(), Filter);
+}
+
 messages::ControlResult
 LedgerProcess::Impl::submit(const operators::OperatorCall &,
                             const messages::ControlCommand &Command) {
