A ledger lists every order whose outcome is unknown

Cause: order list asked of an entry instance that doesn't own the program was empty while the order's outcome was unknown. A ledger holds all histories, so it finds claimed calls that ended with outcome-unknown and have no finding. Ruled out: asking every target in pspctl, since an owner may be out of reach.

Conclusion: operators ask a ledger.

--- a/src/programs/ledger/LedgerProcess.cpp
+++ b/src/programs/ledger/LedgerProcess.cpp
@@ -7,6 +7,7 @@
 #include "net/TaskRing.h"
 #include "operators/OperatorHandler.h"
 #include "operators/OperatorServer.h"
+#include "records/UnresolvedOrders.h"
 #include "records/VerifyFolder.h"
 #include "storage/FileJournal.h"
 #include "storage/FolderIdentity.h"
@@ -63,6 +64,7 @@
 
   std::vector<records::ProgramHistory>
   histories(const records::RecordFilter &Filter) override;
+  std::vector<operators::UnknownOrder> unknownOrders() override;
 
   template <typename Result, typename Query> Result ask(Query Question) {
     return m_Tasks.call<Result>(
@@ -234,6 +236,23 @@
   return records::readHistories((m_Folder / "programs").string(), Filter);
 }
 
+std::vector<operators::UnknownOrder> LedgerProcess::Impl::unknownOrders() {
+  const messages::Configuration Current = configuration();
+  std::vector<operators::UnknownOrder> Orders;
+  for (const records::ProgramHistory &History : histories({})) {
+    for (const records::Record &Each :
+         records::findUnresolvedOrders(History, Current))
+      Orders.push_back({.m_Organisation = Each.m_Organisation,
+                        .m_Program = Each.m_Program,
+                        .m_Turn = Each.m_Turn,
+                        .m_Service = Each.m_Service,
+                        .m_Endpoint = Each.m_Endpoint,
+                        .m_IdempotencyKey = Each.m_IdempotencyKey,
+                        .m_Sent = Each.m_Time});
+  }
+  return Orders;
+}
+
 messages::ControlResult
 LedgerProcess::Impl::submit(const operators::OperatorCall &,
                             const messages::ControlCommand &Command) {
--- a/tests/correctness/RecordsTest.cpp
+++ b/tests/correctness/RecordsTest.cpp
@@ -4,6 +4,7 @@
 
 #include "records/Record.h"
 #include "records/Schema.h"
+#include "records/UnresolvedOrders.h"
 #include "support/SampleHistory.h"
 
 #include <gtest/gtest.h>
@@ -67,6 +68,17 @@
   EXPECT_EQ(Records[2].m_Kind, RecordKind::Program);
 }
 
+TEST_F(RecordsTest, AnUnknownOutcomeIsListedUntilItIsResolved) {
+  ProgramHistory History = sampleHistory("a.01");
+  const auto Orders = findUnresolvedOrders(History, m_Configuration);
+  ASSERT_EQ(Orders.size(), 1U);
+  EXPECT_EQ(Orders[0].m_Turn, 2U);
+  EXPECT_EQ(Orders[0].m_Service, "slurry-order");
+  EXPECT_EQ(Orders[0].m_Endpoint.str(), "orders-1");
+  History.m_Entries.emplace_back().mutable_resolved()->set_turn(2);
+  EXPECT_TRUE(findUnresolvedOrders(History, m_Configuration).empty());
+}
+
 TEST_F(RecordsTest, OldAndNewVersionsAreValidatedSideBySide) {
   const HistoryMaker Maker =
       HistoryMaker("a.01").create("north").start(1, "advice").finish(1, "m-1");
