Mend linter faults in the shells of entry instance and ledger

Cause: clang-tidy refused messages taken by value that are only read, and a list that grows in a loop without room made for it.

--- a/src/programs/entry/EntryProcess.cpp
+++ b/src/programs/entry/EntryProcess.cpp
@@ -154,11 +154,13 @@
 
 void EntryProcess::Impl::decide(Now Time) {
   m_Peers.drain(
-      [&](messages::Envelope Message) { m_Core.onPeer(Message, Time); });
-  m_Endpoints.drain(
-      [&](messages::EndpointEvent Event) { m_Core.onEndpoint(Event, Time); });
-  m_Callers.drain(
-      [&](messages::CallerEvent Event) { m_Core.onCaller(Event, Time); });
+      [&](const messages::Envelope &Message) { m_Core.onPeer(Message, Time); });
+  m_Endpoints.drain([&](const messages::EndpointEvent &Event) {
+    m_Core.onEndpoint(Event, Time);
+  });
+  m_Callers.drain([&](const messages::CallerEvent &Event) {
+    m_Core.onCaller(Event, Time);
+  });
   m_Tasks.run();
   if (m_StopAsked && !m_Draining) {
     m_Draining = true;
@@ -266,6 +268,7 @@
   const auto Outcomes = ask<std::vector<program::UnknownOutcome>>(
       [](EntryCore &Core) { return Core.unknownOutcomes(); });
   std::vector<operators::UnknownOrder> Orders;
+  Orders.reserve(Outcomes.size());
   for (const program::UnknownOutcome &Outcome : Outcomes) {
     Orders.push_back({.m_Organisation = Outcome.m_Organisation,
                       .m_Program = Outcome.m_Program,
--- a/src/programs/ledger/LedgerProcess.cpp
+++ b/src/programs/ledger/LedgerProcess.cpp
@@ -165,8 +165,9 @@
 
 void LedgerProcess::Impl::decide(Now Time) {
   m_Synced.drain([&](SyncReport Report) { applyReport(Report, Time); });
-  m_Peers.drain(
-      [&](messages::Envelope Message) { m_Core->onPeer(Message, Time); });
+  m_Peers.drain([&](const messages::Envelope &Message) {
+    m_Core->onPeer(Message, Time);
+  });
   m_Tasks.run();
   m_Core->onTick(Time);
   for (const DecidedCommand &Decided : m_Core->takeDecided()) {
