--- a/src/entry/EntryCore.cpp
+++ b/src/entry/EntryCore.cpp
@@ -487,7 +487,7 @@
 
 bool EntryCore::isDrained() const {
   return m_Draining && m_Edge.count() == 0 && m_Owned.count() == 0 &&
-         m_Admissions.empty();
+         m_Admissions.empty() && m_Limits.isReleased();
 }
 
 bool EntryCore::isReady() const { return !m_Draining && m_Learner.hasState(); }
--- a/src/ledger/LedgerCore.h
+++ b/src/ledger/LedgerCore.h
@@ -16,6 +16,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,10 @@
 
   /// Messages whose records are synced, oldest first.
   std::vector<messages::Outgoing> takeMessages();
+  /// What may stand for the oldest records of the control journal.
+  std::optional<control::Checkpoint> takeCheckpoint() {
+    return m_Voter.takeCheckpoint();
+  }
   /// Answers to submit().
   std::vector<DecidedCommand> takeDecided();
 
--- a/src/programs/entry/Main.cpp
+++ b/src/programs/entry/Main.cpp
@@ -2,6 +2,7 @@
 /// psp-entry: an entry instance.
 
 #include "base/Error.h"
+#include "logging/Logging.h"
 #include "net/StopSignals.h"
 #include "programs/entry/EntryProcess.h"
 #include "settings/Load.h"
@@ -17,14 +18,13 @@
 int main(int ArgumentCount, char **Arguments) {
   gflags::SetUsageMessage("psp-entry --settings=FILE [--check]");
   gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(Arguments[0]);
   try {
     auto Settings = psp::settings::loadEntrySettings(FLAGS_settings);
     if (FLAGS_check) {
       std::cout << "settings are valid: " << FLAGS_settings << "\n";
       return 0;
     }
+    psp::logging::initLogging("psp-entry", Settings.m_Process.m_LogFolder);
     psp::net::StopSignals Signals;
     psp::entry::EntryProcess Process(std::move(Settings));
     Signals.watch([&Process] { Process.stop(); },
--- a/src/programs/ledger/LedgerProcess.cpp
+++ b/src/programs/ledger/LedgerProcess.cpp
@@ -32,6 +32,7 @@
 constexpr base::Duration TickInterval = base::milliseconds(5);
 constexpr base::Duration OperatorWait = base::seconds(5);
 constexpr std::size_t SyncRingCapacity = 4096;
+constexpr std::size_t CheckpointRingCapacity = 4;
 
 /// How far each journal is synced.
 struct SyncReport {
@@ -88,6 +89,7 @@
   net::PeerPort m_Peers;
   net::TaskRing m_Tasks;
   base::BoundedRing<SyncReport> m_Synced;
+  base::BoundedRing<control::Checkpoint> m_Checkpoints;
   std::map<std::uint64_t,
            std::shared_ptr<std::promise<messages::ControlResult>>>
       m_Submissions;
@@ -106,6 +108,7 @@
               m_Decisions),
       m_Tasks(m_Decisions),
       m_Synced(SyncRingCapacity, [this] { m_Decisions.wake(); }),
+      m_Checkpoints(CheckpointRingCapacity, [this] { m_Disk.wake(); }),
       m_Operators({.m_Address = m_Settings.m_Process.m_OperatorAddress,
                    .m_Token = m_Settings.m_Process.m_OperatorToken},
                   *this) {
@@ -170,6 +173,9 @@
   });
   m_Tasks.run();
   m_Core->onTick(Time);
+  // One that finds no room is dropped; the next one covers it.
+  if (auto Checkpoint = m_Core->takeCheckpoint())
+    m_Checkpoints.push(std::move(*Checkpoint));
   for (const DecidedCommand &Decided : m_Core->takeDecided()) {
     const auto Found = m_Submissions.find(Decided.m_Ticket);
     if (Found == m_Submissions.end())
@@ -198,6 +204,9 @@
                      .m_Program = m_ProgramJournal->syncedSequence()};
   while (!m_Stopping) {
     m_Disk.waitFor(base::milliseconds(100));
+    m_Checkpoints.drain([this](const control::Checkpoint &Checkpoint) {
+      m_ControlJournal->writeSnapshot(Checkpoint.m_Data, Checkpoint.m_Covered);
+    });
     const SyncReport Next = {.m_Control = m_ControlJournal->sync(),
                              .m_Program = m_ProgramJournal->sync()};
     const bool Moved =
--- a/src/programs/ledger/Main.cpp
+++ b/src/programs/ledger/Main.cpp
@@ -3,6 +3,7 @@
 /// histories.
 
 #include "base/Error.h"
+#include "logging/Logging.h"
 #include "net/StopSignals.h"
 #include "programs/ledger/LedgerProcess.h"
 #include "settings/Load.h"
@@ -18,14 +19,13 @@
 int main(int ArgumentCount, char **Arguments) {
   gflags::SetUsageMessage("psp-ledger --settings=FILE [--check]");
   gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(Arguments[0]);
   try {
     auto Settings = psp::settings::loadLedgerSettings(FLAGS_settings);
     if (FLAGS_check) {
       std::cout << "settings are valid: " << FLAGS_settings << "\n";
       return 0;
     }
+    psp::logging::initLogging("psp-ledger", Settings.m_Process.m_LogFolder);
     psp::net::StopSignals Signals;
     psp::ledger::LedgerProcess Process(std::move(Settings));
     Signals.watch([&Process] { Process.stop(); }, [] {});
