Expect the listed program's owner in the test

Cause: the list now names the instance that last led a program, and the test of program_table no longer compiled on main. It now asks for the program and its owner, where it asked for the program only.

--- a/tests/correctness/ProgramTableTest.cpp
+++ b/tests/correctness/ProgramTableTest.cpp
@@ -334,8 +334,9 @@
   m_Fleet.table(2).list(Ledger, base::DataCentreId("stoke-b"),
                         m_Fleet.outbox(2));
   m_Fleet.settle();
-  EXPECT_EQ(m_Fleet.table(1).takeListed(),
-            std::vector<base::ProgramId>{m_Program});
+  const std::vector<ListedProgram> Expected = {
+      {.m_Program = m_Program, .m_Owner = base::InstanceId("entry-0")}};
+  EXPECT_EQ(m_Fleet.table(1).takeListed(), Expected);
   EXPECT_TRUE(m_Fleet.table(2).takeListed().empty());
   {
     SCOPED_TRACE("an ended program whose memory is freed needs none");
