--- a/tests/correctness/ProgramRandomTest.cpp
+++ b/tests/correctness/ProgramRandomTest.cpp
@@ -372,8 +372,9 @@
         History = joinMessages(joinMessages(History, Asked),
                                answerMessage(Entry.turn_finished().answer()));
     }
-    EXPECT_EQ(Each.m_History,
-              R"({"messages":[)" + joinMessages(History, Asked) + "]}");
+    EXPECT_EQ(Each.m_History, R"({"messages":[)" +
+                                  joinMessages(History, Asked) +
+                                  R"(],"stream":true})");
   }
 
   ProgramWorld m_World;
--- a/tests/correctness/ProgramTableTest.cpp
+++ b/tests/correctness/ProgramTableTest.cpp
@@ -102,7 +102,7 @@
     EXPECT_EQ(m_Fleet.bodyOf(0, 2),
               R"({"messages":[{"content":"bevel?","role":"user"},)"
               R"({"content":"30","role":"assistant"},)"
-              R"({"content":"and now?","role":"user"}]})");
+              R"({"content":"and now?","role":"user"}],"stream":true})");
   }
   {
     SCOPED_TRACE("a gap and a used turn with other content are refused");
