Operators' commands reach the leader whichever ledger it is

Cause: after the answer 'not the leader' the index of the ledger to ask was raised twice, so with three ledgers, one of them dead, a command could go round between the dead one and the follower and never reach the leader (seen: 32 s without an accepted key after the leader's SIGKILL, process test test_the_death_of_each_ledger_leaves_the_log_accepting). Ruled out: the log itself; its terms and commit indexes went on while the commands failed. Also: linter faults in the entry core and the endpoint port.

--- a/src/entry/EntryCore.cpp
+++ b/src/entry/EntryCore.cpp
@@ -283,7 +283,7 @@
   }
 }
 
-void EntryCore::announce(messages::EndpointState State, TimePoint Now) {
+void EntryCore::announce(const messages::EndpointState &State, TimePoint Now) {
   m_Queue.announce(State, Now);
   for (const InstanceId &Peer : m_Members.reachable(Now)) {
     const auto &View = m_Members.views().at(Peer);
@@ -454,7 +454,7 @@
          .m_RatePerSecond = Organisation.rate_per_second(),
          .m_Burst = Organisation.burst()});
   }
-  m_Limits.setRates(control().configuration().number(), std::move(Rates),
+  m_Limits.setRates(control().configuration().number(), Rates,
                     Time.m_Monotonic);
   m_Edge.endWithdrawn(
       [this](const base::KeyId &Key) {
--- a/src/entry/EntryCore.h
+++ b/src/entry/EntryCore.h
@@ -112,7 +112,7 @@
   void checkService(const Route &Asked, EdgeCall &Call) const;
   void admit(EdgeCall Call, base::Now Time);
   void takeAdmissions(base::Now Time);
-  void announce(messages::EndpointState State, base::TimePoint Now);
+  void announce(const messages::EndpointState &State, base::TimePoint Now);
   void answer(messages::RequestNumber Request, int Status, std::string Body);
   void learn(base::Now Time);
   OwnershipView ownershipView(base::TimePoint Now) const;
--- a/src/entry/Submissions.cpp
+++ b/src/entry/Submissions.cpp
@@ -49,7 +49,7 @@
     return;
   if (Message.result().error_kind() != unavailable())
     return decide(Found->first, Message.result());
-  ++m_Next; // That ledger is not the leader.
+  // That ledger is not the leader; the next try goes to the next ledger.
   Found->second.m_NextTry = Now + NotLeaderPause;
 }
 
--- a/src/ledger/LedgerReport.cpp
+++ b/src/ledger/LedgerReport.cpp
@@ -17,6 +17,7 @@
       {"role", "ledger"},
       {"data_centre", Process.m_DataCentre.str()},
       {"leader", m_Voter.isLeader()},
+      {"has_vote", m_Voter.admitted()},
       {"known_leader", m_Voter.leader().str()},
       {"term", m_Voter.term()},
       {"commit_index", m_Voter.commitIndex()},
--- a/src/net/EndpointPort.cpp
+++ b/src/net/EndpointPort.cpp
@@ -11,6 +11,8 @@
 } // namespace
 
 struct EndpointPort::Timer {
+  explicit Timer(boost::asio::io_context &Context) : m_Timer(Context) {}
+
   boost::asio::steady_timer m_Timer;
   bool m_Armed = false;
 };
@@ -24,8 +26,7 @@
                                      [this](messages::EndpointEvent Event) {
                                        receive(std::move(Event));
                                      }),
-      m_Timer(std::make_unique<Timer>(
-          boost::asio::steady_timer(m_Thread.context()), false)) {}
+      m_Timer(std::make_unique<Timer>(m_Thread.context())) {}
 
 EndpointPort::~EndpointPort() { stop(); }
 
