One way to make a failed outcome; take the queue's releases out

The scheduler's list of memory releases was never taken out, so it grew with every program that ended; the program's own record names those endpoints already. Ruled out: feeding the queue's list to the releases too, which would send each release twice.

--- a/src/entry/OwnedCalls.cpp
+++ b/src/entry/OwnedCalls.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Error.h"
 #include "base/Hash.h"
+#include "program/Outcome.h"
 
 #include <algorithm>
 #include <utility>
@@ -18,6 +19,7 @@
 using messages::ForwardEnd;
 using messages::Outbox;
 using messages::Service;
+using program::failedOutcome;
 using schedule::CallResult;
 
 namespace {
@@ -25,13 +27,6 @@
 /// Longest piece of an answer that travels in one message, in bytes.
 constexpr std::size_t MaxChunkBytes = 1U << 20U;
 
-CallOutcome outcomeOf(ErrorKind Kind, const std::string &Detail) {
-  CallOutcome Outcome;
-  Outcome.set_error_kind(std::string(base::errorAnswer(Kind).m_Name));
-  Outcome.set_detail(Detail);
-  return Outcome;
-}
-
 program::ProgramLimits limitsOf(const messages::Organisation &Organisation) {
   return {
       .m_BudgetTokens = Organisation.program_budget_tokens(),
@@ -244,7 +239,7 @@
   if (Time.m_Monotonic < Call.m_Deadline)
     return send(Call);
   freeSlot(Call, CallResult::Cancelled, Time);
-  finish(Call, outcomeOf(ErrorKind::DeadlineExceeded, "before it was sent"),
+  finish(Call, failedOutcome(ErrorKind::DeadlineExceeded, "before it was sent"),
          Time, Out);
 }
 
@@ -329,6 +324,9 @@
 
 void OwnedCalls::onTick(Now Time, Outbox &Out) {
   m_Releases.onTick(Time.m_Monotonic);
+  // The record of a program names every endpoint that ran it, so what the queue
+  // knows of them adds nothing; it is taken out to keep it from growing.
+  m_Queue.takeReleases();
   for (const base::ProgramId &Program : m_Releases.takeFreed())
     m_Programs.memoryFreed(Program, Time, Out);
   for (auto Next = m_Calls.begin(); Next != m_Calls.end();) {
@@ -376,7 +374,8 @@
   if (Stoppable) {
     stopExchange(Call);
     freeSlot(Call, CallResult::Cancelled, Time);
-    return finish(Call, outcomeOf(ErrorKind::AnswerInterrupted, "cancelled"),
+    return finish(Call,
+                  failedOutcome(ErrorKind::AnswerInterrupted, "cancelled"),
                   Time, Out);
   }
   // A call that runs once goes on: its outcome has to be recorded.
@@ -412,7 +411,7 @@
                          Now Time, Outbox &Out) {
   m_Programs.abandon(Call.m_Number, Kind, Time, Out);
   ++m_Counters.m_Refused;
-  endAtSource(Call, outcomeOf(Kind, ""), RetryAfter, Out);
+  endAtSource(Call, failedOutcome(Kind, ""), RetryAfter, Out);
   forget(Call.m_Number);
 }
 
@@ -442,7 +441,7 @@
 void OwnedCalls::refuse(const OwnedCall &Call, ErrorKind Kind,
                         const std::string &Detail, Outbox &Out) {
   ++m_Counters.m_Refused;
-  endAtSource(Call, outcomeOf(Kind, Detail), Duration::zero(), Out);
+  endAtSource(Call, failedOutcome(Kind, Detail), Duration::zero(), Out);
 }
 
 void OwnedCalls::forget(std::uint64_t Number) {
--- a/src/entry/OwnedExchange.cpp
+++ b/src/entry/OwnedExchange.cpp
@@ -4,6 +4,7 @@
 
 #include "base/Error.h"
 #include "entry/OwnedCalls.h"
+#include "program/Outcome.h"
 
 #include <nlohmann/json.hpp>
 
@@ -20,6 +21,7 @@
 using messages::ExchangeFailed;
 using messages::ExchangeHead;
 using messages::Outbox;
+using program::failedOutcome;
 using schedule::CallResult;
 
 namespace {
@@ -146,11 +148,7 @@
     return;
   // For a call that runs once, its claim binds this instance to one attempt,
   // and that attempt is over.
-  CallOutcome Outcome;
-  Outcome.set_error_kind(
-      std::string(base::errorAnswer(ErrorKind::EndpointRefused).m_Name));
-  Outcome.set_detail(Detail);
-  finish(Call, Outcome, Time, Out);
+  finish(Call, failedOutcome(ErrorKind::EndpointRefused, Detail), Time, Out);
 }
 
 /// The endpoint may have run the call.
@@ -168,10 +166,7 @@
     return;
   const ErrorKind Kind = Call.isModelCall() ? ErrorKind::AnswerInterrupted
                                             : ErrorKind::EndpointFailed;
-  CallOutcome Outcome;
-  Outcome.set_error_kind(std::string(base::errorAnswer(Kind).m_Name));
-  Outcome.set_detail(Detail);
-  finish(Call, Outcome, Time, Out);
+  finish(Call, failedOutcome(Kind, Detail), Time, Out);
 }
 
 bool OwnedCalls::retryElsewhere(OwnedCall &Call, Now Time) {
@@ -206,9 +201,8 @@
   } else {
     Call.m_Answer.clear();
     ++m_Counters.m_OutcomeUnknown;
-    Outcome.set_error_kind(
-        std::string(base::errorAnswer(ErrorKind::OutcomeUnknown).m_Name));
-    Outcome.set_detail("sent to " + Call.m_Dispatch.m_Endpoint.str());
+    Outcome = failedOutcome(ErrorKind::OutcomeUnknown,
+                            "sent to " + Call.m_Dispatch.m_Endpoint.str());
   }
   finish(Call, Outcome, Time, Out);
 }
