--- /dev/null
+++ b/src/consensus/GroupLog.cpp
@@ -0,0 +1,138 @@
+#include "consensus/GroupLog.h"
+
+#include "base/Error.h"
+#include "messages/Parse.h"
+
+#include <utility>
+
+namespace psp::consensus {
+
+using messages::fleet::GroupRecord;
+
+void GroupLog::restore(std::string_view Record) {
+  const auto Read =
+      messages::parseMessage<GroupRecord>(Record, "group journal");
+  if (!Read.identity().empty())
+    m_Identity = Read.identity();
+  if (Read.has_term()) {
+    m_Term = Read.term();
+    m_Vote = Read.vote();
+  }
+  if (Read.has_snapshot()) {
+    m_Base = Read.snapshot();
+    m_Entries.clear();
+    m_EntryBytes = 0;
+    findMembership();
+    for (const Entry &Each : Read.tail())
+      take(Each);
+  }
+  if (Read.has_entry())
+    take(Read.entry());
+}
+
+void GroupLog::setIdentity(const std::string &Identity) {
+  m_Identity = Identity;
+  GroupRecord Record;
+  Record.set_identity(Identity);
+  write(Record);
+}
+
+void GroupLog::setTerm(std::uint64_t Term, const std::string &Vote) {
+  m_Term = Term;
+  m_Vote = Vote;
+  GroupRecord Record;
+  Record.set_has_term(true);
+  Record.set_term(Term);
+  Record.set_vote(Vote);
+  write(Record);
+}
+
+void GroupLog::append(Entry Next) {
+  GroupRecord Record;
+  *Record.mutable_entry() = Next;
+  write(Record);
+  take(std::move(Next));
+}
+
+void GroupLog::install(const Snapshot &Content) {
+  m_Base = Content;
+  m_Entries.clear();
+  m_EntryBytes = 0;
+  findMembership();
+  GroupRecord Record;
+  *Record.mutable_snapshot() = Content;
+  write(Record);
+}
+
+std::string GroupLog::compact(const Snapshot &Content) {
+  while (!m_Entries.empty() && m_Entries.front().index() <= Content.index()) {
+    m_EntryBytes -= m_Entries.front().ByteSizeLong();
+    m_Entries.pop_front();
+  }
+  m_Base = Content;
+  GroupRecord Record;
+  Record.set_identity(m_Identity);
+  Record.set_has_term(true);
+  Record.set_term(m_Term);
+  Record.set_vote(m_Vote);
+  *Record.mutable_snapshot() = m_Base;
+  for (const Entry &Each : m_Entries)
+    *Record.add_tail() = Each;
+  return Record.SerializeAsString();
+}
+
+std::uint64_t GroupLog::lastTerm() const {
+  return m_Entries.empty() ? m_Base.term() : m_Entries.back().term();
+}
+
+std::optional<std::uint64_t> GroupLog::termAt(std::uint64_t Index) const {
+  if (Index == m_Base.index())
+    return m_Base.term();
+  if (Index < m_Base.index() || Index > lastIndex())
+    return std::nullopt;
+  return at(Index).term();
+}
+
+const GroupLog::Entry &GroupLog::at(std::uint64_t Index) const {
+  base::checkInvariant(Index >= firstIndex() && Index <= lastIndex(),
+                       "group log: read outside of the kept entries");
+  return m_Entries[Index - firstIndex()];
+}
+
+const GroupLog::Membership &GroupLog::membership() const {
+  return m_MembershipIndex <= m_Base.index()
+             ? m_Base.membership()
+             : at(m_MembershipIndex).membership();
+}
+
+void GroupLog::findMembership() {
+  m_MembershipIndex = m_Base.index();
+  for (const Entry &Each : m_Entries)
+    if (Each.has_membership())
+      m_MembershipIndex = Each.index();
+}
+
+void GroupLog::write(const GroupRecord &Record) {
+  m_LastRecord = m_Sink.append(Record.SerializeAsString());
+}
+
+void GroupLog::truncate(std::uint64_t From) {
+  while (!m_Entries.empty() && m_Entries.back().index() >= From) {
+    m_EntryBytes -= m_Entries.back().ByteSizeLong();
+    m_Entries.pop_back();
+  }
+  if (m_MembershipIndex > lastIndex())
+    findMembership();
+}
+
+void GroupLog::take(Entry Next) {
+  truncate(Next.index());
+  base::checkInvariant(Next.index() == lastIndex() + 1,
+                       "group log: an entry left a gap");
+  m_EntryBytes += Next.ByteSizeLong();
+  if (Next.has_membership())
+    m_MembershipIndex = Next.index();
+  m_Entries.push_back(std::move(Next));
+}
+
+} // namespace psp::consensus
--- /dev/null
+++ b/src/consensus/GroupLog.h
@@ -0,0 +1,83 @@
+/// \file
+/// The durable part of one group member: its identity, term, vote, entries and
+/// the snapshot before them.
+
+#ifndef PSP_CONSENSUS_GROUPLOG_H
+#define PSP_CONSENSUS_GROUPLOG_H
+
+#include "base/RecordSink.h"
+#include "generated/fleet.pb.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace psp::consensus {
+
+/// Every change is appended to the sink at once; it lasts when the owner of
+/// the sink has synced it.
+class GroupLog {
+public:
+  using Entry = messages::fleet::GroupEntry;
+  using Membership = messages::fleet::GroupMembership;
+  using Snapshot = messages::fleet::GroupSnapshot;
+
+  explicit GroupLog(base::RecordSink &Sink) : m_Sink(Sink) {}
+
+  /// Takes one record of the journal, oldest first.
+  void restore(std::string_view Record);
+
+  /// Gives a new disk its identity. Only before any other change.
+  void setIdentity(const std::string &Identity);
+  const std::string &identity() const { return m_Identity; }
+
+  std::uint64_t term() const { return m_Term; }
+  const std::string &vote() const { return m_Vote; }
+  void setTerm(std::uint64_t Term, const std::string &Vote);
+
+  /// Appends \p Next, and drops what it conflicts with.
+  void append(Entry Next);
+  /// Replaces everything by a snapshot from the leader.
+  void install(const Snapshot &Content);
+  /// Drops the entries up to \p Content's index. Returns the record that
+  /// replaces all records so far.
+  std::string compact(const Snapshot &Content);
+
+  std::uint64_t firstIndex() const { return m_Base.index() + 1; }
+  std::uint64_t lastIndex() const { return m_Base.index() + m_Entries.size(); }
+  std::uint64_t lastTerm() const;
+  /// The term of the entry at \p Index, if it is still known.
+  std::optional<std::uint64_t> termAt(std::uint64_t Index) const;
+  const Entry &at(std::uint64_t Index) const;
+  const Snapshot &snapshot() const { return m_Base; }
+
+  /// The newest membership, committed or not.
+  const Membership &membership() const;
+  /// Index of the newest membership.
+  std::uint64_t membershipIndex() const { return m_MembershipIndex; }
+  std::uint64_t entryBytes() const { return m_EntryBytes; }
+  /// Sequence of the last record that was appended to the sink.
+  std::uint64_t lastRecord() const { return m_LastRecord; }
+
+private:
+  void write(const messages::fleet::GroupRecord &Record);
+  void truncate(std::uint64_t From);
+  void findMembership();
+  void take(Entry Next);
+
+  base::RecordSink &m_Sink;
+  std::string m_Identity;
+  std::uint64_t m_Term = 0;
+  std::string m_Vote;
+  Snapshot m_Base;
+  std::deque<Entry> m_Entries;
+  std::uint64_t m_EntryBytes = 0;
+  std::uint64_t m_MembershipIndex = 0;
+  std::uint64_t m_LastRecord = 0;
+};
+
+} // namespace psp::consensus
+
+#endif
--- /dev/null
+++ b/src/consensus/MembershipPlan.cpp
@@ -0,0 +1,134 @@
+#include "consensus/MembershipPlan.h"
+
+#include <algorithm>
+#include <map>
+
+namespace psp::consensus {
+
+using messages::fleet::GroupMember;
+using messages::fleet::GroupMembership;
+
+namespace {
+
+const MemberCandidate *findCandidate(const MembershipPlanInput &Input,
+                                     const std::string &Identity) {
+  for (const MemberCandidate &Each : Input.m_Candidates)
+    if (Each.m_Identity == Identity)
+      return &Each;
+  return nullptr;
+}
+
+bool isMember(const GroupMembership &Members, const std::string &Identity) {
+  return std::ranges::any_of(Members.members(), [&](const GroupMember &Each) {
+    return Each.id() == Identity;
+  });
+}
+
+/// Whether the member's node now runs with another disk.
+bool isWiped(const MembershipPlanInput &Input, const GroupMember &Member) {
+  return std::ranges::any_of(
+      Input.m_Candidates, [&](const MemberCandidate &Each) {
+        return Each.m_Host == Member.host() && Each.m_Identity != Member.id() &&
+               Each.m_Reachable;
+      });
+}
+
+bool isLeaving(const MembershipPlanInput &Input, const GroupMember &Member) {
+  if (Member.id() == Input.m_Leader)
+    return false;
+  const MemberCandidate *Known = findCandidate(Input, Member.id());
+  return !Known || !Known->m_Reachable || Known->m_Retiring;
+}
+
+GroupMembership without(const GroupMembership &Members,
+                        const std::string &Identity) {
+  GroupMembership Next;
+  for (const GroupMember &Each : Members.members())
+    if (Each.id() != Identity)
+      *Next.add_members() = Each;
+  return Next;
+}
+
+GroupMembership with(GroupMembership Members, const MemberCandidate &Added) {
+  GroupMember &Fresh = *Members.add_members();
+  Fresh.set_id(Added.m_Identity);
+  Fresh.set_host(Added.m_Host);
+  return Members;
+}
+
+std::map<std::string, std::size_t>
+membersByDataCentre(const MembershipPlanInput &Input) {
+  std::map<std::string, std::size_t> Counts;
+  for (const GroupMember &Each : Input.m_Current.members())
+    if (const MemberCandidate *Known = findCandidate(Input, Each.id());
+        Known && !isLeaving(Input, Each))
+      ++Counts[Known->m_DataCentre];
+  return Counts;
+}
+
+/// The node that should become a member next; null if none can.
+const MemberCandidate *pickSubstitute(const MembershipPlanInput &Input) {
+  auto Counts = membersByDataCentre(Input);
+  const MemberCandidate *Best = nullptr;
+  for (const MemberCandidate &Each : Input.m_Candidates) {
+    if (!Each.m_Reachable || !Each.m_CaughtUp || Each.m_Retiring ||
+        isMember(Input.m_Current, Each.m_Identity))
+      continue;
+    if (!Best || Counts[Each.m_DataCentre] < Counts[Best->m_DataCentre])
+      Best = &Each;
+  }
+  return Best;
+}
+
+} // namespace
+
+std::optional<GroupMembership>
+planMembership(const MembershipPlanInput &Input) {
+  const GroupMembership &Current = Input.m_Current;
+  const auto Size = static_cast<std::size_t>(Current.members_size());
+  const GroupMember *Leaving = nullptr;
+  for (const GroupMember &Each : Current.members()) {
+    if (Each.id() != Input.m_Leader && isWiped(Input, Each))
+      return without(Current, Each.id());
+    if (isLeaving(Input, Each))
+      Leaving = &Each;
+  }
+  if (Leaving && Size > Input.m_TargetMembers)
+    return without(Current, Leaving->id());
+  const MemberCandidate *Substitute = pickSubstitute(Input);
+  if (!Substitute)
+    return std::nullopt;
+  if (Size < Input.m_TargetMembers || Leaving)
+    return with(Current, *Substitute);
+  return std::nullopt;
+}
+
+std::set<std::string> planLearners(const MembershipPlanInput &Input,
+                                   std::size_t Most) {
+  std::set<std::string> Chosen;
+  for (const MemberCandidate &Each : Input.m_Candidates)
+    if (Each.m_Reachable && !Each.m_Retiring && Chosen.size() < Most &&
+        !isMember(Input.m_Current, Each.m_Identity))
+      Chosen.insert(Each.m_Identity);
+  return Chosen;
+}
+
+GroupMembership planFounders(const std::vector<MemberCandidate> &Candidates,
+                             std::size_t Target) {
+  MembershipPlanInput Input;
+  Input.m_Candidates = Candidates;
+  for (MemberCandidate &Each : Input.m_Candidates)
+    Each.m_CaughtUp = true;
+  while (static_cast<std::size_t>(Input.m_Current.members_size()) < Target) {
+    const MemberCandidate *Next = pickSubstitute(Input);
+    if (!Next)
+      break;
+    Input.m_Current = with(Input.m_Current, *Next);
+  }
+  const int Count = Input.m_Current.members_size();
+  if (Count > 1 && Count % 2 == 0)
+    Input.m_Current.mutable_members()->RemoveLast();
+  return Input.m_Current;
+}
+
+} // namespace psp::consensus
--- /dev/null
+++ b/src/coordinator/TokenDesk.cpp
@@ -0,0 +1,31 @@
+#include "coordinator/TokenDesk.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace psp::coordinator {
+
+std::uint32_t TokenDesk::take(const fleet::OrganisationSpec &Asking,
+                              std::uint32_t Wanted, base::TimePoint Now) {
+  const auto [Found, Fresh] = m_Buckets.try_emplace(Asking.m_Name);
+  Bucket &Filled = Found->second;
+  if (Fresh)
+    Filled.m_FilledAt = m_Since;
+  const double Seconds =
+      std::chrono::duration<double>(Now - Filled.m_FilledAt).count();
+  Filled.m_FilledAt = Now;
+  Filled.m_Tokens =
+      std::min(std::max(Asking.m_Burst, 1.0),
+               Filled.m_Tokens + Seconds * Asking.m_RatePerSecond);
+  const auto Given = static_cast<std::uint32_t>(
+      std::min<double>(Wanted, std::floor(Filled.m_Tokens)));
+  Filled.m_Tokens -= Given;
+  return Given;
+}
+
+void TokenDesk::reset(base::TimePoint Now) {
+  m_Buckets.clear();
+  m_Since = Now;
+}
+
+} // namespace psp::coordinator
--- /dev/null
+++ b/src/coordinator/TokenDesk.h
@@ -0,0 +1,41 @@
+/// \file
+/// Hands out the requests that organisations with a low rate may send, from
+/// one bucket each, at the leader of control.
+
+#ifndef PSP_COORDINATOR_TOKENDESK_H
+#define PSP_COORDINATOR_TOKENDESK_H
+
+#include "base/Time.h"
+#include "fleet/ServingConfiguration.h"
+
+#include <map>
+#include <string>
+
+namespace psp::coordinator {
+
+/// Load pattern: an organisation's rate is cut far below what it sends, and
+/// its callers are spread unevenly over the entry instances, so that fixed
+/// shares would refuse calls inside its rate.
+///
+/// A new leader starts with empty buckets: what its predecessor handed out is
+/// unknown to it, and the first fill takes as long as the burst lasts.
+class TokenDesk {
+public:
+  /// How many of \p Wanted tokens \p Asking may have now.
+  std::uint32_t take(const fleet::OrganisationSpec &Asking,
+                     std::uint32_t Wanted, base::TimePoint Now);
+  /// This node has just become the leader.
+  void reset(base::TimePoint Now);
+
+private:
+  struct Bucket {
+    double m_Tokens = 0;
+    base::TimePoint m_FilledAt;
+  };
+  std::map<std::string, Bucket> m_Buckets;
+  base::TimePoint m_Since;
+};
+
+} // namespace psp::coordinator
+
+#endif
--- /dev/null
+++ b/src/fleet/ControlMachine.h
@@ -0,0 +1,43 @@
+/// \file
+/// The replicated state of control: the configuration with the highest
+/// version, and the founders of the history group.
+
+#ifndef PSP_FLEET_CONTROLMACHINE_H
+#define PSP_FLEET_CONTROLMACHINE_H
+
+#include "consensus/StateMachine.h"
+#include "generated/fleet.pb.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace psp::fleet {
+
+class ControlMachine : public consensus::StateMachine {
+public:
+  void apply(std::uint64_t Index, std::string_view Command,
+             std::uint64_t WallMs) override;
+  std::string snapshot() const override;
+  void restore(std::string_view Snapshot) override;
+
+  /// Zero before the first configuration.
+  std::uint64_t version() const { return m_State.configuration().version(); }
+  const std::string &document() const {
+    return m_State.configuration().document();
+  }
+  /// Empty before the history group was founded.
+  const messages::fleet::GroupMembership &historyFounders() const {
+    return m_State.history_founders();
+  }
+  /// Counts changes, so that a publisher notices them.
+  std::uint64_t revision() const { return m_Revision; }
+
+private:
+  messages::fleet::ControlGroupSnapshot m_State;
+  std::uint64_t m_Revision = 0;
+};
+
+} // namespace psp::fleet
+
+#endif
--- /dev/null
+++ b/src/gateway/CallSending.cpp
@@ -0,0 +1,316 @@
+#include "gateway/Call.h"
+
+#include "gateway/Gateway.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace psp::gateway {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using base::ErrorKind;
+
+namespace {
+
+/// Time until an endpoint has announced itself, or a place is free.
+constexpr base::Duration EndpointRetry = base::milliseconds(250);
+/// Longest answer that is collected before it is passed on, in bytes.
+constexpr std::size_t WholeAnswerBytes = 8U << 20U;
+/// Answers to other requests that are skipped on one connection.
+constexpr int MostForeignAnswers = 4;
+/// Statuses that promise that a request hasn't run.
+constexpr std::array<unsigned, 4> PromiseStatuses = {408, 421, 429, 503};
+
+base::TimePoint now() { return base::readClocks().m_Monotonic; }
+
+bool isPromise(unsigned Status) {
+  return std::ranges::find(PromiseStatuses, Status) != PromiseStatuses.end();
+}
+
+bool concernsConnection(std::string_view Name) {
+  constexpr std::array<std::string_view, 9> Names = {
+      "Connection",        "Keep-Alive", "Proxy-Authenticate",
+      "Proxy-Connection",  "TE",         "Trailer",
+      "Transfer-Encoding", "Upgrade",    "Content-Length"};
+  return std::ranges::any_of(Names, [&](std::string_view Each) {
+    return boost::beast::iequals(Each, Name);
+  });
+}
+
+std::string chunkOf(std::string_view Bytes) {
+  std::array<char, 16> Length{};
+  const auto End = std::to_chars(Length.data(), Length.data() + Length.size(),
+                                 Bytes.size(), 16)
+                       .ptr;
+  std::string Chunk(Length.data(), End);
+  Chunk += "\r\n";
+  Chunk += Bytes;
+  Chunk += "\r\n";
+  return Chunk;
+}
+
+constexpr std::string_view LastChunk = "0\r\n\r\n";
+
+} // namespace
+
+asio::awaitable<void> Call::sendToEndpoints() {
+  std::set<std::string> Excluded;
+  ServicePlacement &Placement = m_Owner.placement();
+  bool AnyFound = false;
+  for (std::uint32_t Try = 0; Try < m_Owner.options().m_MostTries; ++Try) {
+    if (isOver())
+      break;
+    const fleet::EndpointState *Chosen = Placement.place(
+        m_Service, m_PlacedOn, Excluded, m_Owner.endpoints(), now());
+    if (!Chosen)
+      break;
+    AnyFound = true;
+    // Copied: the directory may change while the call waits.
+    const fleet::EndpointState Endpoint = *Chosen;
+    const std::string Id = Endpoint.id();
+    Placement.onSent(Id);
+    const TimePoint Start = now();
+    const SendOutcome Outcome = co_await sendTo(Endpoint);
+    const bool Success = Outcome == SendOutcome::Answered;
+    Placement.onDone(Id, Success ? now() - Start : base::Duration(0), now());
+    Excluded.insert(Id);
+    m_RanOn = Id;
+    if (Outcome == SendOutcome::Answered)
+      co_return;
+    if (Outcome == SendOutcome::Broken) {
+      if (m_TurnOpen)
+        settleTurn(!isOver());
+      m_KeepAlive = false;
+      co_return;
+    }
+    if (Outcome == SendOutcome::Unknown && !mayRepeat()) {
+      if (m_TurnOpen)
+        settleTurn(true);
+      co_await refuse(Refusal(ErrorKind::EndpointFailed,
+                              "the endpoint took the call and failed"));
+      co_return;
+    }
+  }
+  if (m_Gone)
+    co_return;
+  if (m_Expired) {
+    if (m_Answering) {
+      m_KeepAlive = false;
+      co_return;
+    }
+    co_await refuse(Refusal(m_Runs > 0 ? ErrorKind::DeadlineExceeded
+                                       : ErrorKind::Overloaded,
+                            "the time is up"));
+    co_return;
+  }
+  const bool Unclear = m_Runs > 0 && !m_Route->isRepeatable();
+  co_await refuse(Refusal(Unclear    ? ErrorKind::EndpointFailed
+                          : AnyFound ? ErrorKind::Overloaded
+                                     : ErrorKind::NoEndpoint,
+                          AnyFound ? "no endpoint that was asked has room"
+                                   : "no endpoint of the service is known",
+                          EndpointRetry));
+}
+
+bool Call::mayRepeat() const {
+  return m_Route->isRepeatable() && m_Runs < m_Route->m_Attempts && !isOver();
+}
+
+asio::awaitable<SendOutcome>
+Call::sendTo(const fleet::EndpointState &Endpoint) {
+  const std::string Id = Endpoint.id();
+  ServicePlacement &Placement = m_Owner.placement();
+  std::unique_ptr<EndpointChannel> Channel =
+      m_Owner.pool().take(Endpoint.address());
+  m_Abort = [Raw = Channel.get()] { Raw->abort(); };
+  struct ClearAbort {
+    std::function<void()> &m_Target;
+    ~ClearAbort() { m_Target = nullptr; }
+  } Clear{m_Abort};
+  if (!Channel->isOpen() &&
+      !co_await Channel->connect(
+          std::min(m_Owner.options().m_ConnectLimit, timeLeft()))) {
+    Placement.onFailed(Id, now());
+    co_return isOver() ? SendOutcome::Ended : SendOutcome::NotRun;
+  }
+  Request Out = m_Owner.protocol().makeRequest(
+      m_Received,
+      {.m_EndpointId = Id,
+       .m_EndpointAddress = Endpoint.address(),
+       .m_Organisation = m_Organisation ? m_Organisation->m_Name : "",
+       .m_TimeLeft = timeLeft()},
+      m_EarlierTurns.empty()
+          ? std::nullopt
+          : std::optional(m_EarlierTurns + m_Received.body()));
+  const std::uint64_t SentAtUs =
+      static_cast<std::uint64_t>((now() - m_Arrived).count());
+  if (!co_await Channel->send(Out)) {
+    // Not written as a whole, so there is nothing that could have run.
+    Placement.onFailed(Id, now());
+    co_return isOver() ? SendOutcome::Ended : SendOutcome::NotRun;
+  }
+  ++m_Runs;
+  AnswerFacts Facts;
+  const bool HasHead = co_await readOwnHead(*Channel, Facts);
+  const unsigned Status = HasHead ? Channel->head().result_int() : 0;
+  m_Owner.node().log().write(
+      "request_sent",
+      {{"request", m_Facts.m_Id},
+       {"route", m_Route->m_Name},
+       {"endpoint", Id},
+       {"placed_by", Id == m_PlacedOn ? "history" : "instance"},
+       {"try", m_Runs},
+       {"sent_us", SentAtUs},
+       {"answered_us", static_cast<std::uint64_t>((now() - m_Arrived).count())},
+       {"status", Status},
+       {"not_run", Facts.m_NotRun ? "yes" : "no"}});
+  if (!HasHead) {
+    if (isOver())
+      co_return SendOutcome::Ended;
+    Placement.onFailed(Id, now());
+    co_return SendOutcome::Unknown;
+  }
+  if (Facts.m_NotRun || Facts.m_WrongEndpoint) {
+    --m_Runs;
+    if (Facts.m_WrongEndpoint)
+      m_Owner.endpoints().markGone(Id, now());
+    else
+      Placement.onFull(Id, now());
+    co_return SendOutcome::NotRun;
+  }
+  const bool Success = Status >= 200 && Status < 300;
+  if (Success && !Facts.m_Signed)
+    co_return SendOutcome::Unknown;
+  if (isPromise(Status))
+    co_return SendOutcome::Unknown;
+  if (Status >= 500 && mayRepeat())
+    co_return SendOutcome::Unknown;
+  const bool Streams = m_Route->m_Kind == fleet::CallKind::Stream && Success;
+  const SendOutcome Outcome =
+      Streams ? co_await passStream(*Channel) : co_await passWhole(*Channel);
+  if (Channel->canBeKept())
+    m_Owner.pool().keep(std::move(Channel), Facts.m_IdleTimeout);
+  if (Outcome == SendOutcome::Unknown || Outcome == SendOutcome::Broken)
+    Placement.onFailed(Id, now());
+  co_return Outcome;
+}
+
+/// Reads answers until the one to this request; others are late copies.
+asio::awaitable<bool> Call::readOwnHead(EndpointChannel &Channel,
+                                        AnswerFacts &Facts) {
+  for (int Foreign = 0; Foreign < MostForeignAnswers; ++Foreign) {
+    if (!co_await Channel.readHead())
+      co_return false;
+    Facts = m_Owner.protocol().readAnswer(Channel.head());
+    if (Facts.m_RequestId == m_Facts.m_Id || Facts.m_NotRun ||
+        Facts.m_WrongEndpoint)
+      co_return true;
+    m_Owner.node().log().write(
+        "foreign_answer_skipped",
+        {{"request", m_Facts.m_Id}, {"found", Facts.m_RequestId}});
+    while (!(co_await Channel.readSome()).empty()) {
+    }
+    if (!Channel.isComplete())
+      co_return false;
+  }
+  co_return false;
+}
+
+/// Collects the answer before its first byte goes on, so that a broken one can
+/// still be replaced.
+asio::awaitable<SendOutcome> Call::passWhole(EndpointChannel &Channel) {
+  std::string Body;
+  while (Body.size() < WholeAnswerBytes) {
+    const std::string_view Piece = co_await Channel.readSome();
+    if (Piece.empty())
+      break;
+    Body += Piece;
+  }
+  if (!Channel.isComplete())
+    co_return isOver() ? SendOutcome::Ended : SendOutcome::Unknown;
+  const std::string Head =
+      answerHead(Channel.head(),
+                 "Content-Length: " + std::to_string(Body.size()) + "\r\n");
+  m_Answering = true;
+  if (!co_await write(Head + Body))
+    co_return SendOutcome::Broken;
+  co_return SendOutcome::Answered;
+}
+
+asio::awaitable<SendOutcome> Call::passStream(EndpointChannel &Channel) {
+  EventStream Events(m_Route->m_KeepsTurns);
+  const fleet::ServiceSpec *Service = m_Table->service(m_Service);
+  const std::uint64_t TokensPerEvent = Service ? Service->m_TokensPerEvent : 1;
+  std::string Head =
+      answerHead(Channel.head(), "Transfer-Encoding: chunked\r\n");
+  std::optional<TimePoint> FirstAt;
+  TimePoint LastAt;
+  while (true) {
+    const std::string_view Piece = co_await Channel.readSome();
+    if (Piece.empty())
+      break;
+    Events.feed(Piece);
+    const std::uint64_t Begun =
+        Events.eventCount() + (Events.isBetweenEvents() ? 0 : 1);
+    m_Tokens = Begun * TokensPerEvent;
+    LastAt = now();
+    if (!FirstAt)
+      FirstAt = LastAt;
+    m_Answering = true;
+    if (!co_await write(std::exchange(Head, {}) + chunkOf(Piece)))
+      co_return SendOutcome::Broken;
+  }
+  if (FirstAt && Events.eventCount() > 1)
+    m_EventGapUs = static_cast<std::uint32_t>(
+        (LastAt - *FirstAt).count() /
+        static_cast<std::int64_t>(Events.eventCount() - 1));
+  if (!Channel.isComplete()) {
+    if (m_Answering)
+      co_return SendOutcome::Broken;
+    co_return isOver() ? SendOutcome::Ended : SendOutcome::Unknown;
+  }
+  m_Output = Events.text();
+  if (m_IsTurn && m_Route->m_KeepsTurns && !co_await recordTurn())
+    co_return SendOutcome::Broken;
+  m_Answering = true;
+  if (!co_await write(std::exchange(Head, {}) + std::string(LastChunk)))
+    co_return SendOutcome::Broken;
+  co_return SendOutcome::Answered;
+}
+
+asio::awaitable<bool> Call::write(std::string_view Bytes) {
+  boost::system::error_code Error;
+  co_await asio::async_write(m_Caller, asio::buffer(Bytes),
+                             asio::redirect_error(asio::use_awaitable, Error));
+  if (Error)
+    m_Gone = true;
+  co_return !Error;
+}
+
+std::string Call::answerHead(const ResponseHead &Head,
+                             const std::string &Framing) const {
+  std::string Text = "HTTP/1.1 " + std::to_string(Head.result_int()) + " " +
+                     std::string(Head.reason()) + "\r\n";
+  for (const auto &Field : Head) {
+    if (concernsConnection(Field.name_string()))
+      continue;
+    Text += Field.name_string();
+    Text += ": ";
+    Text += Field.value();
+    Text += "\r\n";
+  }
+  Text += Framing;
+  Text += m_KeepAlive ? "Connection: keep-alive\r\n\r\n"
+                      : "Connection: close\r\n\r\n";
+  return Text;
+}
+
+} // namespace psp::gateway
--- /dev/null
+++ b/src/gateway/EventStream.cpp
@@ -0,0 +1,52 @@
+#include "gateway/EventStream.h"
+
+#include <utility>
+
+namespace psp::gateway {
+
+namespace {
+
+constexpr std::string_view DataField = "data:";
+
+} // namespace
+
+void EventStream::feed(std::string_view Bytes) {
+  while (!Bytes.empty()) {
+    const std::size_t End = Bytes.find('\n');
+    if (End == std::string_view::npos) {
+      m_Line += Bytes;
+      return;
+    }
+    m_Line += Bytes.substr(0, End);
+    Bytes.remove_prefix(End + 1);
+    const std::string Line = std::exchange(m_Line, {});
+    takeLine(Line);
+  }
+}
+
+void EventStream::takeLine(std::string_view Line) {
+  if (Line.ends_with('\r'))
+    Line.remove_suffix(1);
+  if (!Line.empty()) {
+    m_InEvent = true;
+    if (Line.starts_with(DataField)) {
+      Line.remove_prefix(DataField.size());
+      if (Line.starts_with(' '))
+        Line.remove_prefix(1);
+      if (std::exchange(m_HasData, true))
+        m_Data += '\n';
+      m_Data += Line;
+    }
+    return;
+  }
+  if (!std::exchange(m_InEvent, false))
+    return;
+  if (std::exchange(m_HasData, false)) {
+    ++m_Events;
+    if (m_CollectText)
+      m_Text += m_Data + '\n';
+  }
+  m_Data.clear();
+}
+
+} // namespace psp::gateway
--- /dev/null
+++ b/src/gateway/Gateway.cpp
@@ -0,0 +1,259 @@
+#include "gateway/Gateway.h"
+
+#include "base/Error.h"
+#include "base/Hash.h"
+#include "gateway/CallerSession.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace psp::gateway {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using base::readClocks;
+using messages::fleet::EndTurn;
+using messages::fleet::NODE_CONTROL;
+using messages::fleet::NODE_ENTRY;
+using messages::fleet::NODE_HISTORY;
+using messages::fleet::NodeKind;
+using messages::fleet::Reply;
+
+namespace {
+
+constexpr base::Duration HouseInterval = base::milliseconds(500);
+constexpr base::Duration StopCheckInterval = base::milliseconds(100);
+/// The leader of history is asked for a sign of life after this long without
+/// an answer, so that readiness rests on fresh knowledge.
+constexpr base::Duration ProbeAfter = base::milliseconds(700);
+
+base::TimePoint now() { return readClocks().m_Monotonic; }
+
+std::uint64_t seedOf(const std::string &Name) {
+  return base::stableHash(Name + std::to_string(readClocks().m_Wall));
+}
+
+} // namespace
+
+Gateway::Gateway(GatewayOptions Options, const node::SettingsSource &Source,
+                 const CallProtocol &Protocol,
+                 const fleet::ConfigurationCodec &Codec)
+    : m_Options(Options), m_Protocol(Protocol), m_Codec(Codec),
+      m_Node({.m_Program = "psp-gateway",
+              .m_Kind = NODE_ENTRY,
+              .m_MetricsPort = Options.m_MetricsPort,
+              .m_Listens = false},
+             Source),
+      m_Placement({.m_DataCentre = m_Node.settings().m_DataCentre,
+                   .m_Seed = seedOf(m_Node.settings().m_Name)}),
+      m_Pool(m_Node.io(), {}), m_Requests(m_Node.io()), m_Acceptor(m_Node.io()),
+      m_HouseTimer(m_Node.io()), m_StopTimer(m_Node.io()),
+      m_Random(seedOf(m_Node.settings().m_Name + "/draw")) {}
+
+void Gateway::run() {
+  const node::NodeSettings &Settings = m_Node.settings();
+  m_Node.start(
+      "", {.m_OnMessage = [this](const NodeState &,
+                                 LinkMessage &Message) { onMessage(Message); },
+           .m_OnUp = [](const NodeState &) {},
+           .m_OnDown = [](const NodeState &) {},
+           .m_OnStop = [this] { stop(); }});
+  const link::PeerAddress &At = Settings.m_CallerAddress.value();
+  const tcp::endpoint Endpoint(asio::ip::make_address(At.m_Host), At.m_Port);
+  m_Acceptor.open(Endpoint.protocol());
+  m_Acceptor.set_option(asio::socket_base::reuse_address(true));
+  m_Acceptor.bind(Endpoint);
+  m_Acceptor.listen();
+  asio::co_spawn(io(), accept(), asio::detached);
+  m_ReadyServer = std::make_unique<web::HttpServer>(
+      io(),
+      web::HttpServerOptions{.m_Address = Settings.m_ReadyAddress.value()},
+      [this](const web::Request &) -> asio::awaitable<web::Response> {
+        web::Response Answer;
+        Answer.result(isReady()
+                          ? boost::beast::http::status::ok
+                          : boost::beast::http::status::service_unavailable);
+        co_return Answer;
+      });
+  m_ReadyServer->start();
+  housekeeping();
+  m_Node.run();
+}
+
+asio::awaitable<void> Gateway::accept() {
+  while (true) {
+    boost::system::error_code Error;
+    tcp::socket Socket = co_await m_Acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, Error));
+    if (!Error)
+      startSession(*this, std::move(Socket));
+  }
+}
+
+void Gateway::onMessage(LinkMessage &Message) {
+  if (Message.has_reply())
+    m_Requests.onReply(Message.reply());
+  else if (Message.has_configuration())
+    onConfiguration(Message.configuration());
+  else if (Message.has_endpoints())
+    for (const auto &Each : Message.endpoints().endpoints())
+      if (m_Endpoints.merge(Each, false, now()))
+        m_Node.log().write(
+            "endpoint_changed",
+            {{"endpoint", Each.id()},
+             {"address", Each.address()},
+             {"phase", messages::fleet::EndpointPhase_Name(Each.phase())}});
+}
+
+void Gateway::onConfiguration(
+    const messages::fleet::ConfigurationUpdate &Update) {
+  m_EntryInstances = std::max(m_EntryInstances, Update.entry_instances());
+  m_Rates.setInstances(m_EntryInstances);
+  const std::uint64_t Held = m_Table ? m_Table->configuration().m_Version : 0;
+  if (Update.version() <= Held)
+    return;
+  try {
+    m_Table = std::make_shared<const fleet::RouteTable>(
+        m_Codec.decode(Update.document()));
+    m_Node.log().write("configuration_in_force",
+                       {{"version", Update.version()}, {"before", Held}});
+  } catch (const base::UserError &Fault) {
+    // Control has checked it, so the two disagree: the held one stays.
+    m_Node.log().write(
+        "configuration_unreadable",
+        {{"version", Update.version()}, {"reason", Fault.what()}});
+  }
+}
+
+std::string Gateway::pickNode(NodeKind Kind) {
+  const std::string &Leader = m_Leaders[Kind];
+  if (!Leader.empty() && m_Node.hub().isUp(Leader))
+    return Leader;
+  std::vector<std::string> Names;
+  for (const NodeState &Each : m_Node.nodes().ofKind(Kind))
+    if (m_Node.hub().isUp(Each.name()) && !Each.stopping())
+      Names.push_back(Each.name());
+  return Names.empty() ? std::string() : Names[m_NextNode++ % Names.size()];
+}
+
+asio::awaitable<std::optional<Reply>>
+Gateway::askLeader(NodeKind Kind, messages::fleet::Request Asked,
+                   base::Duration Limit) {
+  const base::TimePoint Until = now() + Limit;
+  while (now() < Until) {
+    const std::string Node = pickNode(Kind);
+    bool Pause = Node.empty();
+    if (!Node.empty()) {
+      const std::uint64_t Id = m_Requests.nextId();
+      LinkMessage Message;
+      Asked.set_id(Id);
+      *Message.mutable_request() = Asked;
+      m_Node.hub().send(Node, Message);
+      const auto Answer = co_await m_Requests.wait(
+          Id,
+          std::min<base::Duration>(m_Options.m_LeaderPatience, Until - now()));
+      if (!Answer) {
+        m_Leaders[Kind].clear();
+        continue;
+      }
+      if (Answer->kind() != messages::fleet::REPLY_NOT_LEADER) {
+        m_Leaders[Kind] = Node;
+        if (Kind == NODE_HISTORY)
+          m_LeaderAnsweredAt = now();
+        co_return Answer;
+      }
+      Pause = Answer->leader().empty() || Answer->leader() == Node;
+      m_Leaders[Kind] = Pause ? std::string() : Answer->leader();
+    }
+    if (Pause) {
+      asio::steady_timer Timer(io(), m_Options.m_LeaderRetry);
+      co_await Timer.async_wait(asio::use_awaitable);
+    }
+  }
+  co_return std::nullopt;
+}
+
+void Gateway::recordLater(EndTurn End) {
+  asio::co_spawn(io(), record(std::move(End)), asio::detached);
+}
+
+asio::awaitable<void> Gateway::record(EndTurn End) {
+  messages::fleet::Request Asked;
+  *Asked.mutable_end() = std::move(End);
+  const auto Answer =
+      co_await askLeader(NODE_HISTORY, Asked, m_Options.m_RecordLimit);
+  if (!Answer)
+    m_Node.log().write("turn_not_recorded",
+                       {{"turn", Asked.end().turn()},
+                        {"reason", "no leader of history answered"}});
+}
+
+double Gateway::draw() {
+  return std::uniform_real_distribution<double>(0, 1)(m_Random);
+}
+
+bool Gateway::isReady() const {
+  return !m_StoppingSince && m_Table &&
+         now() - m_LeaderAnsweredAt < m_Options.m_ReadyPatience;
+}
+
+/// Asks the leader of history for a sign of life when no call did.
+void Gateway::probeLeader() {
+  if (m_Probing || now() - m_LeaderAnsweredAt < ProbeAfter)
+    return;
+  m_Probing = true;
+  messages::fleet::Request Asked;
+  Asked.mutable_retire(); // Names no node, so it changes nothing.
+  asio::co_spawn(
+      io(),
+      [this, Asked]() -> asio::awaitable<void> {
+        co_await askLeader(NODE_HISTORY, Asked, ProbeAfter);
+        m_Probing = false;
+      },
+      asio::detached);
+}
+
+void Gateway::housekeeping() {
+  m_Pool.expire();
+  probeLeader();
+  const bool Ready = isReady();
+  if (std::exchange(m_ReportedReady, Ready) != Ready)
+    m_Node.log().write(
+        "readiness_changed",
+        {{"ready", Ready ? "yes" : "no"},
+         {"leader", m_Leaders[NODE_HISTORY]},
+         {"configuration", m_Table ? m_Table->configuration().m_Version : 0}});
+  m_HouseTimer.expires_after(HouseInterval);
+  m_HouseTimer.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      housekeeping();
+  });
+}
+
+void Gateway::stop() {
+  if (m_StoppingSince)
+    return;
+  m_StoppingSince = now();
+  finishWhenIdle();
+}
+
+void Gateway::finishWhenIdle() {
+  const base::Duration Since = now() - *m_StoppingSince;
+  const bool Idle = m_Calls == 0 && Since >= m_Options.m_StopLinger;
+  if (Idle || Since >= m_Node.settings().m_StopGrace - m_Options.m_StopMargin) {
+    m_Node.finish();
+    return;
+  }
+  m_StopTimer.expires_after(StopCheckInterval);
+  m_StopTimer.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      finishWhenIdle();
+  });
+}
+
+} // namespace psp::gateway
--- /dev/null
+++ b/src/gateway/Gateway.h
@@ -0,0 +1,129 @@
+/// \file
+/// An entry instance: takes callers' requests and has endpoints run them.
+
+#ifndef PSP_GATEWAY_GATEWAY_H
+#define PSP_GATEWAY_GATEWAY_H
+
+#include "fleet/EndpointDirectory.h"
+#include "fleet/RouteTable.h"
+#include "gateway/CallProtocol.h"
+#include "gateway/EndpointChannel.h"
+#include "gateway/RateShares.h"
+#include "gateway/ServicePlacement.h"
+#include "link/RequestTable.h"
+#include "node/NodeRuntime.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace psp::gateway {
+
+struct GatewayOptions {
+  std::uint16_t m_MetricsPort = 0;
+  /// A leader that doesn't answer in this time is asked for elsewhere: several
+  /// round trips between data centres and a sync.
+  base::Duration m_LeaderPatience = base::milliseconds(250);
+  /// Pause before the next try while no leader is known.
+  base::Duration m_LeaderRetry = base::milliseconds(40);
+  /// A call waits this long for a leader before it is refused: an election.
+  base::Duration m_LeaderWait = base::milliseconds(1200);
+  /// Records of ended turns are tried this long.
+  base::Duration m_RecordLimit = base::seconds(20);
+  /// A connection to an endpoint must come about in this time: several round
+  /// trips between data centres.
+  base::Duration m_ConnectLimit = base::milliseconds(300);
+  /// Endpoints that are asked in turn for one call, if each refuses.
+  std::uint32_t m_MostTries = 6;
+  /// An instance without a leader of history for this long isn't ready.
+  base::Duration m_ReadyPatience = base::milliseconds(1500);
+  /// A stopping instance takes calls at least this long, until the balancer
+  /// has noticed.
+  base::Duration m_StopLinger = base::milliseconds(3000);
+  /// A stopping instance ends this long before it would be killed.
+  base::Duration m_StopMargin = base::milliseconds(700);
+};
+
+class Gateway {
+public:
+  Gateway(GatewayOptions Options, const node::SettingsSource &Source,
+          const CallProtocol &Protocol, const fleet::ConfigurationCodec &Codec);
+
+  void run();
+
+  /// Asks the leader of the nodes of \p Kind, whoever it is. Nothing if none
+  /// answered before \p Limit.
+  boost::asio::awaitable<std::optional<messages::fleet::Reply>>
+  askLeader(messages::fleet::NodeKind Kind, messages::fleet::Request Asked,
+            base::Duration Limit);
+  /// Has the turn recorded, without waiting for it.
+  void recordLater(messages::fleet::EndTurn End);
+
+  /// Null before the first configuration.
+  const std::shared_ptr<const fleet::RouteTable> &table() const {
+    return m_Table;
+  }
+  const GatewayOptions &options() const { return m_Options; }
+  const CallProtocol &protocol() const { return m_Protocol; }
+  node::NodeRuntime &node() { return m_Node; }
+  boost::asio::io_context &io() { return m_Node.io(); }
+  fleet::EndpointDirectory &endpoints() { return m_Endpoints; }
+  ServicePlacement &placement() { return m_Placement; }
+  EndpointPool &pool() { return m_Pool; }
+  RateShares &rates() { return m_Rates; }
+  bool isStopping() const { return m_StoppingSince.has_value(); }
+  double draw();
+
+  /// Calls under way, for a planned stop.
+  void onCallBegun() { ++m_Calls; }
+  void onCallEnded() { --m_Calls; }
+
+private:
+  using LinkMessage = link::LinkMessage;
+  using NodeState = fleet::NodeState;
+
+  void onMessage(LinkMessage &Message);
+  void onConfiguration(const messages::fleet::ConfigurationUpdate &Update);
+  boost::asio::awaitable<void> accept();
+  boost::asio::awaitable<void> record(messages::fleet::EndTurn End);
+  void housekeeping();
+  bool isReady() const;
+  void probeLeader();
+  std::string pickNode(messages::fleet::NodeKind Kind);
+  void stop();
+  void finishWhenIdle();
+
+  GatewayOptions m_Options;
+  const CallProtocol &m_Protocol;
+  const fleet::ConfigurationCodec &m_Codec;
+  node::NodeRuntime m_Node;
+  std::shared_ptr<const fleet::RouteTable> m_Table;
+  fleet::EndpointDirectory m_Endpoints;
+  ServicePlacement m_Placement;
+  EndpointPool m_Pool;
+  RateShares m_Rates;
+  link::RequestTable m_Requests;
+  std::map<messages::fleet::NodeKind, std::string> m_Leaders;
+  std::size_t m_NextNode = 0;
+  base::TimePoint m_LeaderAnsweredAt;
+  std::uint32_t m_EntryInstances = 1;
+  boost::asio::ip::tcp::acceptor m_Acceptor;
+  std::unique_ptr<web::HttpServer> m_ReadyServer;
+  boost::asio::steady_timer m_HouseTimer;
+  boost::asio::steady_timer m_StopTimer;
+  std::optional<base::TimePoint> m_StoppingSince;
+  std::uint32_t m_Calls = 0;
+  bool m_ReportedReady = false;
+  bool m_Probing = false;
+  std::mt19937_64 m_Random;
+};
+
+} // namespace psp::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/RateShares.h
@@ -0,0 +1,63 @@
+/// \file
+/// This instance's part in the rates of organisations.
+
+#ifndef PSP_GATEWAY_RATESHARES_H
+#define PSP_GATEWAY_RATESHARES_H
+
+#include "base/Time.h"
+#include "fleet/ServingConfiguration.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace psp::gateway {
+
+struct RateSharesOptions {
+  /// A share of at least this many requests per second is used without asking:
+  /// an organisation's uneven spread over instances stays inside it.
+  double m_FixedShareRate = 10;
+  /// Tokens are asked for this long ahead, at the organisation's rate.
+  double m_AskAheadSeconds = 0.25;
+  /// Granted tokens that were not used are dropped after this long, so that
+  /// they don't add up to a burst beside the leader's bucket.
+  base::Duration m_TokenLife = base::seconds(2);
+};
+
+enum class RateDecision {
+  Pass,
+  Ask, ///< Tokens have to be asked for first.
+};
+
+/// Organisations with a high rate have a fixed share at each instance; those
+/// with a low one take tokens from one bucket at the leader of control.
+class RateShares {
+public:
+  explicit RateShares(RateSharesOptions Options = {}) : m_Options(Options) {}
+
+  /// Instances among which rates are divided.
+  void setInstances(std::uint32_t Count) { m_Instances = Count; }
+
+  /// Takes a token of \p Sender if there is one.
+  RateDecision take(const fleet::OrganisationSpec &Sender, base::TimePoint Now);
+  /// Whether \p Sender has a fixed share, so that asking is of no use.
+  bool hasFixedShare(const fleet::OrganisationSpec &Sender) const;
+  std::uint32_t tokensToAsk(const fleet::OrganisationSpec &Sender) const;
+  void grant(const fleet::OrganisationSpec &Sender, std::uint32_t Tokens,
+             base::TimePoint Now);
+
+private:
+  struct Bucket {
+    double m_Tokens = 0;
+    base::TimePoint m_FilledAt;
+    double m_Rate = -1; ///< Of the last fill; a change empties the bucket.
+  };
+
+  RateSharesOptions m_Options;
+  std::uint32_t m_Instances = 1;
+  std::map<std::string, Bucket> m_Buckets;
+};
+
+} // namespace psp::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/ServicePlacement.h
@@ -0,0 +1,70 @@
+/// \file
+/// Chooses endpoints by what this instance has seen of them.
+
+#ifndef PSP_GATEWAY_SERVICEPLACEMENT_H
+#define PSP_GATEWAY_SERVICEPLACEMENT_H
+
+#include "base/Time.h"
+#include "fleet/EndpointDirectory.h"
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+namespace psp::gateway {
+
+struct ServicePlacementOptions {
+  std::string m_DataCentre;
+  /// Way to an endpoint of another data centre and back, in milliseconds.
+  double m_RemoteMs = 3;
+  /// Assumed time of a call before any was seen, in milliseconds.
+  double m_TypicalMs = 20;
+  /// An endpoint that failed is avoided this long, doubled with each failure
+  /// in a row up to the longest.
+  base::Duration m_AvoidTime = base::milliseconds(700);
+  base::Duration m_LongestAvoidTime = base::seconds(6);
+  std::uint64_t m_Seed = 0;
+};
+
+class ServicePlacement {
+public:
+  explicit ServicePlacement(ServicePlacementOptions Options)
+      : m_Options(std::move(Options)), m_Random(m_Options.m_Seed) {}
+
+  /// The endpoint of \p Service that should answer first; null if there is
+  /// none. \p Preferred is taken if it is usable; \p Excluded never.
+  const fleet::EndpointState *place(const std::string &Service,
+                                    const std::string &Preferred,
+                                    const std::set<std::string> &Excluded,
+                                    const fleet::EndpointDirectory &Endpoints,
+                                    base::TimePoint Now);
+
+  void onSent(const std::string &Endpoint);
+  /// \p Latency: zero if it tells nothing.
+  void onDone(const std::string &Endpoint, base::Duration Latency,
+              base::TimePoint Now);
+  void onFailed(const std::string &Endpoint, base::TimePoint Now);
+  /// The endpoint said that it is full.
+  void onFull(const std::string &Endpoint, base::TimePoint Now);
+  bool isAvoided(const std::string &Endpoint, base::TimePoint Now) const;
+
+private:
+  struct Row {
+    std::uint32_t m_Running = 0;
+    double m_LatencyMs = 0; ///< Smoothed; zero: unknown.
+    std::uint32_t m_FailuresInRow = 0;
+    base::TimePoint m_AvoidUntil;
+  };
+
+  double cost(const fleet::EndpointState &Candidate, base::TimePoint Now);
+
+  ServicePlacementOptions m_Options;
+  std::mt19937_64 m_Random;
+  std::map<std::string, Row> m_Rows;
+};
+
+} // namespace psp::gateway
+
+#endif
--- /dev/null
+++ b/src/history/HistoryNode.cpp
@@ -0,0 +1,178 @@
+#include "history/HistoryNode.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <utility>
+
+namespace psp::history {
+
+using base::readClocks;
+using messages::fleet::NODE_HISTORY;
+
+namespace {
+
+constexpr base::Duration HouseInterval = base::milliseconds(500);
+/// Time for the last messages of a stopping process to leave.
+constexpr base::Duration StopDelay = base::milliseconds(300);
+constexpr std::size_t IdentityBytes = 8;
+
+} // namespace
+
+HistoryNode::HistoryNode(HistoryNodeOptions Options,
+                         const node::SettingsSource &Source)
+    : m_Node({.m_Program = "psp-history",
+              .m_Kind = NODE_HISTORY,
+              .m_MetricsPort = Options.m_MetricsPort},
+             Source),
+      m_HouseTimer(m_Node.io()) {
+  const node::NodeSettings &Settings = m_Node.settings();
+  const std::uint64_t Seed =
+      base::stableHash(Settings.m_Name + std::to_string(readClocks().m_Wall));
+  m_Group = std::make_unique<link::GroupHost>(
+      m_Node.io(),
+      link::GroupHostOptions{
+          .m_Kind = messages::fleet::GROUP_HISTORY,
+          .m_Nodes = NODE_HISTORY,
+          .m_Folder = std::filesystem::path(Settings.m_DataFolder) / "history",
+          .m_FreshIdentity = Settings.m_Host + "/" +
+                             base::toHex(base::randomBytes(IdentityBytes)),
+          .m_Group = {.m_AnnounceCommits = false, .m_Seed = Seed},
+          .m_TargetMembers = 2 * Settings.m_ToleratedLosses + 1},
+      m_Desk, m_Node.hub(), m_Node.nodes(), m_Node.log(),
+      link::GroupHost::Handlers{.m_OnProgress = [this] { onProgress(); }});
+}
+
+void HistoryNode::run() {
+  m_Desk.setTime(readClocks().m_Monotonic);
+  m_Group->start();
+  m_Node.start(m_Group->group().identity(),
+               {.m_OnMessage =
+                    [this](const NodeState &From, LinkMessage &Message) {
+                      onMessage(From, Message);
+                    },
+                .m_OnUp = [](const NodeState &) {},
+                .m_OnDown = [](const NodeState &) {},
+                .m_OnStop = [this] { stop(); }});
+  housekeeping();
+  m_Node.run();
+}
+
+void HistoryNode::onMessage(const NodeState &From, LinkMessage &Message) {
+  const base::TimePoint Now = readClocks().m_Monotonic;
+  m_Desk.setTime(Now);
+  if (Message.has_group()) {
+    m_Group->onMessage(Message.group());
+  } else if (Message.has_endpoints()) {
+    for (const auto &Each : Message.endpoints().endpoints())
+      m_Desk.endpoints().merge(Each, false, Now);
+  } else if (Message.has_configuration()) {
+    const auto &Founders = Message.configuration().history_founders();
+    const bool Founds =
+        std::ranges::any_of(Founders.members(), [this](const auto &Each) {
+          return Each.id() == m_Group->group().identity();
+        });
+    if (Founds && !m_Group->group().hasHistory())
+      m_Group->found(Founders);
+  } else if (Message.has_request()) {
+    onRequest(From.name(), Message.request());
+  }
+}
+
+void HistoryNode::onRequest(const std::string &From, const Request &Asked) {
+  if (!m_Group->group().isSettledLeader()) {
+    Reply Answer;
+    Answer.set_kind(messages::fleet::REPLY_NOT_LEADER);
+    Answer.set_leader(m_Group->leaderNode());
+    reply(From, Asked.id(), std::move(Answer));
+    return;
+  }
+  if (Asked.has_retire())
+    reply(From, Asked.id(), retire(Asked.retire()));
+  else if (Asked.has_begin() || Asked.has_end())
+    propose(From, Asked);
+}
+
+void HistoryNode::propose(const std::string &From, const Request &Asked) {
+  messages::fleet::HistoryCommand Command;
+  if (Asked.has_begin())
+    *Command.mutable_begin() = Asked.begin();
+  else
+    *Command.mutable_end() = Asked.end();
+  // Registered first: with one member the commit comes before propose returns.
+  m_Desk.expect(m_Group->group().lastIndex() + 1, From, Asked);
+  m_Group->propose(Command.SerializeAsString());
+}
+
+HistoryNode::Reply
+HistoryNode::retire(const messages::fleet::RetireNode &Asked) {
+  Reply Answer;
+  const NodeState *Target = m_Node.nodes().find(Asked.node());
+  if (!Target || Target->kind() != NODE_HISTORY) {
+    Answer.set_kind(messages::fleet::REPLY_UNKNOWN_NODE);
+    return Answer;
+  }
+  std::size_t Others = 0;
+  for (const NodeState &Each : m_Node.nodes().ofKind(NODE_HISTORY)) {
+    const bool Self = Each.name() == m_Node.settings().m_Name;
+    if (Each.name() != Asked.node() && !m_Retiring.contains(Each.name()) &&
+        (Self || m_Node.hub().isUp(Each.name())))
+      ++Others;
+  }
+  const std::size_t Needed = 2 * m_Node.settings().m_ToleratedLosses + 1;
+  if (Others < Needed) {
+    Answer.set_kind(messages::fleet::REPLY_REFUSED);
+    return Answer;
+  }
+  if (m_Retiring.insert(Asked.node()).second)
+    m_Node.log().write("retiring", {{"target", Asked.node()}});
+  m_Group->setRetiring(m_Retiring);
+  const auto &Members = m_Group->group().membership().members();
+  const bool Full = static_cast<std::size_t>(Members.size()) >= Needed;
+  const bool CaughtUp = std::ranges::all_of(Members, [this](const auto &Each) {
+    return Each.id() == m_Group->group().identity() ||
+           m_Group->group().isCaughtUp(Each.id());
+  });
+  Answer.set_done(!m_Group->isMemberNode(Asked.node()) && Full && CaughtUp);
+  return Answer;
+}
+
+void HistoryNode::reply(const std::string &To, std::uint64_t Id, Reply Answer) {
+  LinkMessage Message;
+  Answer.set_id(Id);
+  *Message.mutable_reply() = std::move(Answer);
+  m_Node.hub().send(To, Message);
+}
+
+void HistoryNode::onProgress() {
+  const bool Leads = m_Group && m_Group->group().isLeader();
+  if (std::exchange(m_Led, Leads) && !Leads)
+    m_Desk.failAll(m_Group->leaderNode());
+  for (AddressedReply &Each : m_Desk.takeReplies()) {
+    const std::uint64_t Id = Each.m_Reply.id();
+    reply(Each.m_Node, Id, std::move(Each.m_Reply));
+  }
+}
+
+void HistoryNode::housekeeping() {
+  m_Desk.setTime(readClocks().m_Monotonic);
+  m_Desk.expire();
+  m_HouseTimer.expires_after(HouseInterval);
+  m_HouseTimer.async_wait([this](boost::system::error_code Error) {
+    if (!Error && !m_Stopping)
+      housekeeping();
+  });
+}
+
+void HistoryNode::stop() {
+  if (std::exchange(m_Stopping, true))
+    return;
+  m_Node.announceStop();
+  m_Group->handOver();
+  m_HouseTimer.expires_after(StopDelay);
+  m_HouseTimer.async_wait(
+      [this](boost::system::error_code) { m_Node.finish(); });
+}
+
+} // namespace psp::history
--- /dev/null
+++ b/src/link/Link.cpp
@@ -0,0 +1,171 @@
+#include "link/Link.h"
+
+#include "base/Error.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace psp::link {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t LengthBytes = 4;
+constexpr std::size_t ReadBytes = 16U << 10U;
+/// Short messages that wait together leave in one write up to this length.
+constexpr std::size_t WriteBytes = 64U << 10U;
+
+base::TimePoint now() { return base::readClocks().m_Monotonic; }
+
+} // namespace
+
+Link::Link(asio::ip::tcp::socket Socket, LinkOptions Options, Handlers Handle)
+    : m_Socket(std::move(Socket)), m_Options(Options),
+      m_Handle(std::move(Handle)), m_WatchTimer(m_Socket.get_executor()),
+      m_HeardAt(now()), m_SentAt(m_HeardAt) {}
+
+void Link::start() {
+  boost::system::error_code Ignored; // The connection works without it.
+  m_Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  auto Self = shared_from_this();
+  asio::co_spawn(
+      m_Socket.get_executor(), [Self] { return Self->read(); }, asio::detached);
+  asio::co_spawn(
+      m_Socket.get_executor(), [Self] { return Self->watch(); },
+      asio::detached);
+}
+
+void Link::send(const LinkMessage &Message) {
+  if (!m_Open)
+    return;
+  const auto Length = static_cast<std::uint32_t>(Message.ByteSizeLong());
+  std::string Bytes(LengthBytes, '\0');
+  boost::endian::store_big_u32(reinterpret_cast<unsigned char *>(Bytes.data()),
+                               Length);
+  Message.AppendToString(&Bytes);
+  m_QueuedBytes += Bytes.size();
+  m_Queue.push_back(std::move(Bytes));
+  m_SentAt = now();
+  if (m_QueuedBytes > m_Options.m_UnsentBytes) {
+    close("too many unsent bytes");
+    return;
+  }
+  if (m_Writing)
+    return;
+  m_Writing = true;
+  auto Self = shared_from_this();
+  asio::co_spawn(
+      m_Socket.get_executor(), [Self] { return Self->write(); },
+      asio::detached);
+}
+
+void Link::close(const std::string &Reason) {
+  if (!m_Open)
+    return;
+  m_Open = false;
+  boost::system::error_code Ignored; // Nothing more can be done with it.
+  m_Socket.close(Ignored);
+  m_WatchTimer.cancel();
+  m_Queue.clear();
+  m_Handle.m_OnEnd(shared_from_this(), Reason);
+}
+
+asio::awaitable<void> Link::read() {
+  auto Self = shared_from_this();
+  std::string Buffer;
+  std::array<char, ReadBytes> Chunk;
+  while (m_Open) {
+    boost::system::error_code Error;
+    const std::size_t Count = co_await m_Socket.async_read_some(
+        asio::buffer(Chunk), asio::redirect_error(asio::use_awaitable, Error));
+    if (Error) {
+      close(Error.message());
+      co_return;
+    }
+    m_HeardAt = now();
+    Buffer.append(Chunk.data(), Count);
+    try {
+      if (!takeMessages(Buffer))
+        close("a message that can't be read");
+    } catch (const base::UserError &Fault) {
+      close(Fault.what());
+    }
+  }
+}
+
+bool Link::takeMessages(std::string &Buffer) {
+  std::size_t Start = 0;
+  while (m_Open && Buffer.size() - Start >= LengthBytes) {
+    const std::uint32_t Length = boost::endian::load_big_u32(
+        reinterpret_cast<const unsigned char *>(Buffer.data() + Start));
+    if (Length > m_Options.m_MessageBytes)
+      return false;
+    if (Buffer.size() - Start < LengthBytes + Length)
+      break;
+    LinkMessage Message;
+    if (!Message.ParseFromArray(Buffer.data() + Start + LengthBytes,
+                                static_cast<int>(Length)))
+      return false;
+    Start += LengthBytes + Length;
+    if (!Message.has_ping())
+      m_Handle.m_OnMessage(shared_from_this(), Message);
+  }
+  Buffer.erase(0, Start);
+  return true;
+}
+
+asio::awaitable<void> Link::write() {
+  auto Self = shared_from_this();
+  while (m_Open && !m_Queue.empty()) {
+    std::string Batch = std::move(m_Queue.front());
+    m_Queue.pop_front();
+    while (!m_Queue.empty() &&
+           Batch.size() + m_Queue.front().size() < WriteBytes) {
+      Batch += m_Queue.front();
+      m_Queue.pop_front();
+    }
+    boost::system::error_code Error;
+    co_await asio::async_write(
+        m_Socket, asio::buffer(Batch),
+        asio::redirect_error(asio::use_awaitable, Error));
+    m_QueuedBytes -= std::min(m_QueuedBytes, Batch.size());
+    if (Error) {
+      close(Error.message());
+      co_return;
+    }
+  }
+  m_Writing = false;
+}
+
+asio::awaitable<void> Link::watch() {
+  auto Self = shared_from_this();
+  while (m_Open) {
+    m_WatchTimer.expires_after(m_Options.m_PingInterval);
+    boost::system::error_code Error;
+    co_await m_WatchTimer.async_wait(
+        asio::redirect_error(asio::use_awaitable, Error));
+    if (!m_Open)
+      co_return;
+    const base::TimePoint Time = now();
+    if (Time - m_HeardAt > m_Options.m_SilenceLimit) {
+      close("silent for too long");
+      co_return;
+    }
+    if (Time - m_SentAt >= m_Options.m_PingInterval) {
+      LinkMessage Message;
+      Message.mutable_ping();
+      send(Message);
+    }
+  }
+}
+
+} // namespace psp::link
--- /dev/null
+++ b/src/link/Link.h
@@ -0,0 +1,79 @@
+/// \file
+/// One connection between two processes of the system: length-prefixed
+/// messages, pings when idle, and an end when the other side falls silent.
+
+#ifndef PSP_LINK_LINK_H
+#define PSP_LINK_LINK_H
+
+#include "base/Time.h"
+#include "generated/fleet.pb.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace psp::link {
+
+using messages::fleet::LinkMessage;
+
+struct LinkOptions {
+  /// A ping is sent after this long without another message.
+  base::Duration m_PingInterval = base::milliseconds(600);
+  /// The other side is gone after this long without a message: three pings.
+  base::Duration m_SilenceLimit = base::milliseconds(1800);
+  /// Longest message, in bytes: a snapshot of a group's state.
+  std::uint32_t m_MessageBytes = 64U << 20U;
+  /// A connection with more unsent bytes than this is closed.
+  std::size_t m_UnsentBytes = 96U << 20U;
+};
+
+class Link : public std::enable_shared_from_this<Link> {
+public:
+  struct Handlers {
+    std::function<void(const std::shared_ptr<Link> &, LinkMessage &)>
+        m_OnMessage;
+    /// Called once, with the reason.
+    std::function<void(const std::shared_ptr<Link> &, const std::string &)>
+        m_OnEnd;
+  };
+
+  Link(boost::asio::ip::tcp::socket Socket, LinkOptions Options,
+       Handlers Handle);
+
+  void start();
+  void send(const LinkMessage &Message);
+  void close(const std::string &Reason);
+  bool isOpen() const { return m_Open; }
+
+  /// Name of the node at the other side, empty before its greeting.
+  const std::string &peer() const { return m_Peer; }
+  void setPeer(const std::string &Name) { m_Peer = Name; }
+
+private:
+  boost::asio::awaitable<void> read();
+  boost::asio::awaitable<void> write();
+  boost::asio::awaitable<void> watch();
+  bool takeMessages(std::string &Buffer);
+
+  boost::asio::ip::tcp::socket m_Socket;
+  LinkOptions m_Options;
+  Handlers m_Handle;
+  boost::asio::steady_timer m_WatchTimer;
+  std::deque<std::string> m_Queue;
+  std::size_t m_QueuedBytes = 0;
+  bool m_Writing = false;
+  bool m_Open = true;
+  base::TimePoint m_HeardAt;
+  base::TimePoint m_SentAt;
+  std::string m_Peer;
+};
+
+} // namespace psp::link
+
+#endif
--- /dev/null
+++ b/src/node/NodeRuntime.cpp
@@ -0,0 +1,244 @@
+#include "node/NodeRuntime.h"
+
+#include "base/Error.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <csignal>
+#include <set>
+#include <utility>
+
+namespace psp::node {
+
+namespace asio = boost::asio;
+using messages::fleet::NODE_CONTROL;
+using messages::fleet::NODE_ENTRY;
+
+namespace {
+
+/// How often control nodes tell others the whole directory.
+constexpr base::Duration DirectoryInterval = base::seconds(3);
+/// Nodes that no control node lists any more are forgotten after this long.
+constexpr base::Duration ForgetNodeAfter = base::seconds(25);
+
+} // namespace
+
+NodeRuntime::NodeRuntime(NodeRuntimeOptions Options,
+                         const SettingsSource &Source)
+    : m_Options(std::move(Options)), m_Source(Source),
+      m_Settings(Source.load()), m_Fingerprint(Source.fingerprint()),
+      m_Log(m_Io,
+            {.m_Program = m_Options.m_Program, .m_Node = m_Settings.m_Name}),
+      m_Hub(m_Io, {},
+            {.m_OnMessage =
+                 [this](const NodeState &From, LinkMessage &Message) {
+                   onMessage(From, Message);
+                 },
+             .m_OnUp = [this](const NodeState &Peer) { onUp(Peer); },
+             .m_OnDown =
+                 [this](const NodeState &Peer, const std::string &Reason) {
+                   onDown(Peer, Reason);
+                 }}),
+      m_Signals(m_Io), m_SettingsTimer(m_Io), m_DirectoryTimer(m_Io) {}
+
+void NodeRuntime::start(const std::string &Member, Handlers Handle) {
+  m_Handle = std::move(Handle);
+  m_Self = describeSelf();
+  m_Self.set_member(Member);
+  m_Nodes.merge(m_Self, base::readClocks().m_Monotonic);
+  m_Hub.setSelf(m_Self);
+  if (m_Options.m_Listens)
+    m_Hub.listen(
+        {.m_Host = m_Settings.m_Host, .m_Port = m_Settings.m_PeerPort});
+  if (m_Options.m_MetricsPort != 0) {
+    m_MetricsServer = std::make_unique<web::HttpServer>(
+        m_Io,
+        web::HttpServerOptions{
+            .m_Address = {.m_Host = m_Settings.m_Host,
+                          .m_Port = m_Options.m_MetricsPort}},
+        [this](const web::Request &) -> asio::awaitable<web::Response> {
+          web::Response Answer;
+          Answer.set(boost::beast::http::field::content_type, "text/plain");
+          Answer.body() = m_Metrics.text();
+          co_return Answer;
+        });
+    m_MetricsServer->start();
+  }
+  watchSignals();
+  watchSettings();
+  shareDirectory();
+  dialNodes();
+  m_Log.write("started", {{"data_centre", m_Settings.m_DataCentre},
+                          {"incarnation", m_Self.incarnation()}});
+}
+
+void NodeRuntime::finish() {
+  m_Log.write("stopped", {});
+  m_Log.flush();
+  m_Io.stop();
+}
+
+void NodeRuntime::announceStop() {
+  m_Self.set_stopping(true);
+  m_Self.set_revision(m_Self.revision() + 1);
+  m_Nodes.merge(m_Self, base::readClocks().m_Monotonic);
+  m_Hub.setSelf(m_Self);
+}
+
+void NodeRuntime::broadcast(const LinkMessage &Message,
+                            std::optional<messages::fleet::NodeKind> Kind) {
+  for (const std::string &Name : m_Hub.nodesUp()) {
+    const NodeState *Node = m_Nodes.find(Name);
+    if (!Kind || (Node && Node->kind() == *Kind))
+      m_Hub.send(Name, Message);
+  }
+}
+
+void NodeRuntime::onMessage(const NodeState &From, LinkMessage &Message) {
+  if (Message.has_directory())
+    mergeDirectory(Message.directory());
+  else
+    m_Handle.m_OnMessage(From, Message);
+}
+
+void NodeRuntime::onUp(const NodeState &Peer) {
+  const base::TimePoint Now = base::readClocks().m_Monotonic;
+  const bool Changed = m_Nodes.merge(Peer, Now);
+  m_Nodes.touch(Peer.name(), Now);
+  m_Log.write("peer_connected",
+              {{"peer", Peer.name()}, {"data_centre", Peer.data_centre()}});
+  LinkMessage Message;
+  for (const NodeState &Each : m_Nodes.all())
+    if (Each.kind() != NODE_ENTRY || Each.name() == Peer.name())
+      *Message.mutable_directory()->add_nodes() = Each;
+  m_Hub.send(Peer.name(), Message);
+  if (Changed && Peer.kind() != NODE_ENTRY) {
+    LinkMessage News;
+    *News.mutable_directory()->add_nodes() = Peer;
+    broadcast(News);
+    dialNodes();
+  }
+  m_Handle.m_OnUp(Peer);
+}
+
+void NodeRuntime::onDown(const NodeState &Peer, const std::string &Reason) {
+  m_Log.write("peer_lost", {{"peer", Peer.name()}, {"reason", Reason}});
+  m_Handle.m_OnDown(Peer);
+}
+
+void NodeRuntime::mergeDirectory(const messages::fleet::Directory &News) {
+  const base::TimePoint Now = base::readClocks().m_Monotonic;
+  bool Changed = false;
+  for (const NodeState &Each : News.nodes()) {
+    if (Each.name() != m_Self.name()) {
+      Changed |= m_Nodes.merge(Each, Now);
+      m_Nodes.touch(Each.name(), Now);
+      continue;
+    }
+    // A row of an earlier start that a stepped clock puts after this one.
+    if (Each.incarnation() > m_Self.incarnation()) {
+      m_Self.set_incarnation(Each.incarnation() + 1);
+      m_Nodes.merge(m_Self, Now);
+      m_Hub.setSelf(m_Self);
+    }
+  }
+  if (Changed)
+    dialNodes();
+}
+
+void NodeRuntime::dialNodes() {
+  std::set<link::PeerAddress> Wanted;
+  for (const std::string &Host : m_Settings.m_SeedHosts)
+    Wanted.insert({.m_Host = Host, .m_Port = m_Settings.m_PeerPort});
+  for (const NodeState &Each : m_Nodes.all())
+    if (Each.kind() != NODE_ENTRY && Each.name() != m_Self.name())
+      Wanted.insert({.m_Host = Each.host(),
+                     .m_Port = static_cast<std::uint16_t>(Each.port())});
+  m_Hub.dial(Wanted);
+}
+
+void NodeRuntime::shareDirectory() {
+  const base::TimePoint Now = base::readClocks().m_Monotonic;
+  for (const std::string &Name : m_Hub.nodesUp())
+    m_Nodes.touch(Name, Now);
+  m_Nodes.touch(m_Self.name(), Now);
+  m_Nodes.forget(ForgetNodeAfter, Now);
+  if (m_Options.m_Kind == NODE_CONTROL) {
+    // Only what this node hears itself, so that lost nodes age everywhere.
+    LinkMessage Message;
+    *Message.mutable_directory()->add_nodes() = m_Self;
+    for (const std::string &Name : m_Hub.nodesUp())
+      if (const NodeState *Each = m_Nodes.find(Name);
+          Each && Each->kind() != NODE_ENTRY)
+        *Message.mutable_directory()->add_nodes() = *Each;
+    broadcast(Message);
+  }
+  dialNodes();
+  m_DirectoryTimer.expires_after(DirectoryInterval);
+  m_DirectoryTimer.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      shareDirectory();
+  });
+}
+
+void NodeRuntime::watchSettings() {
+  m_SettingsTimer.expires_after(m_Options.m_SettingsInterval);
+  m_SettingsTimer.async_wait([this](boost::system::error_code Error) {
+    if (Error)
+      return;
+    if (m_Source.fingerprint() != m_Fingerprint)
+      reload("file changed");
+    watchSettings();
+  });
+}
+
+void NodeRuntime::reload(std::string_view Cause) {
+  try {
+    const std::string Fingerprint = m_Source.fingerprint();
+    m_Settings = m_Source.load();
+    m_Fingerprint = Fingerprint;
+    m_Log.write("settings_reloaded",
+                {{"cause", Cause}, {"seeds", m_Settings.m_SeedHosts.size()}});
+    dialNodes();
+  } catch (const base::UserError &Fault) {
+    // The settings in use stay: a half-written file is read again later.
+    m_Log.write("settings_refused", {{"cause", Fault.what()}});
+  }
+}
+
+void NodeRuntime::watchSignals() {
+  static bool Added = false;
+  if (!std::exchange(Added, true)) {
+    m_Signals.add(SIGTERM);
+    m_Signals.add(SIGINT);
+    m_Signals.add(SIGHUP);
+  }
+  m_Signals.async_wait([this](boost::system::error_code Error, int Signal) {
+    if (Error)
+      return;
+    if (Signal == SIGHUP) {
+      reload("SIGHUP");
+    } else {
+      m_Log.write("stopping", {{"signal", static_cast<std::uint64_t>(Signal)}});
+      m_Handle.m_OnStop();
+    }
+    watchSignals();
+  });
+}
+
+fleet::NodeState NodeRuntime::describeSelf() const {
+  NodeState Self;
+  Self.set_name(m_Settings.m_Name);
+  Self.set_data_centre(m_Settings.m_DataCentre);
+  Self.set_host(m_Settings.m_Host);
+  Self.set_port(m_Settings.m_PeerPort);
+  Self.set_incarnation(base::readClocks().m_Wall);
+  Self.set_kind(m_Options.m_Kind);
+  if (m_Settings.m_ControlAddress)
+    Self.set_control_address(
+        m_Settings.m_ControlAddress->m_Host + ":" +
+        std::to_string(m_Settings.m_ControlAddress->m_Port));
+  return Self;
+}
+
+} // namespace psp::node
--- /dev/null
+++ b/src/node/NodeRuntime.h
@@ -0,0 +1,101 @@
+/// \file
+/// What every process of a self-finding deployment does: links, the directory
+/// of nodes, settings that change, signals, metrics and logs.
+
+#ifndef PSP_NODE_NODERUNTIME_H
+#define PSP_NODE_NODERUNTIME_H
+
+#include "fleet/NodeDirectory.h"
+#include "link/Hub.h"
+#include "logging/EventLog.h"
+#include "metrics/Registry.h"
+#include "node/NodeSettings.h"
+#include "web/HttpServer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace psp::node {
+
+struct NodeRuntimeOptions {
+  std::string m_Program;
+  messages::fleet::NodeKind m_Kind = messages::fleet::NODE_ENTRY;
+  /// Zero: no metrics are served.
+  std::uint16_t m_MetricsPort = 0;
+  /// How often the settings are looked at for a change without a signal.
+  base::Duration m_SettingsInterval = base::seconds(2);
+  /// Whether other nodes may connect to this one.
+  bool m_Listens = true;
+};
+
+class NodeRuntime {
+public:
+  using NodeState = fleet::NodeState;
+  using LinkMessage = link::LinkMessage;
+
+  struct Handlers {
+    std::function<void(const NodeState &From, LinkMessage &)> m_OnMessage;
+    std::function<void(const NodeState &)> m_OnUp;
+    std::function<void(const NodeState &)> m_OnDown;
+    std::function<void()> m_OnStop; ///< A planned stop was asked for.
+  };
+
+  NodeRuntime(NodeRuntimeOptions Options, const SettingsSource &Source);
+  NodeRuntime(const NodeRuntime &) = delete;
+  NodeRuntime &operator=(const NodeRuntime &) = delete;
+
+  /// Begins to listen and to connect. \p Member: identity in a group, if any.
+  void start(const std::string &Member, Handlers Handle);
+  void run() { m_Io.run(); }
+  /// Ends run().
+  void finish();
+  /// Tells others that this node is going to stop.
+  void announceStop();
+
+  const NodeSettings &settings() const { return m_Settings; }
+  boost::asio::io_context &io() { return m_Io; }
+  link::Hub &hub() { return m_Hub; }
+  fleet::NodeDirectory &nodes() { return m_Nodes; }
+  logging::EventLog &log() { return m_Log; }
+  metrics::Registry &metrics() { return m_Metrics; }
+  /// Broadcasts to all nodes that are connected, of \p Kind if given.
+  void broadcast(const LinkMessage &Message,
+                 std::optional<messages::fleet::NodeKind> Kind = {});
+
+private:
+  void onMessage(const NodeState &From, LinkMessage &Message);
+  void onUp(const NodeState &Peer);
+  void onDown(const NodeState &Peer, const std::string &Reason);
+  void mergeDirectory(const messages::fleet::Directory &News);
+  void dialNodes();
+  void shareDirectory();
+  void watchSettings();
+  void reload(std::string_view Cause);
+  void watchSignals();
+  NodeState describeSelf() const;
+
+  NodeRuntimeOptions m_Options;
+  const SettingsSource &m_Source;
+  NodeSettings m_Settings;
+  std::string m_Fingerprint;
+  boost::asio::io_context m_Io{1};
+  logging::EventLog m_Log;
+  metrics::Registry m_Metrics;
+  link::Hub m_Hub;
+  fleet::NodeDirectory m_Nodes;
+  NodeState m_Self;
+  Handlers m_Handle;
+  boost::asio::signal_set m_Signals;
+  boost::asio::steady_timer m_SettingsTimer;
+  boost::asio::steady_timer m_DirectoryTimer;
+  std::unique_ptr<web::HttpServer> m_MetricsServer;
+};
+
+} // namespace psp::node
+
+#endif
--- /dev/null
+++ b/src/node/NodeSettings.h
@@ -0,0 +1,55 @@
+/// \file
+/// What a process of a self-finding deployment is told at its start.
+
+#ifndef PSP_NODE_NODESETTINGS_H
+#define PSP_NODE_NODESETTINGS_H
+
+#include "base/Time.h"
+#include "link/Hub.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace psp::node {
+
+struct NodeSettings {
+  std::string m_Name;
+  std::string m_DataCentre;
+  std::string m_Host;
+  /// Port for other processes of the system, the same on every node.
+  std::uint16_t m_PeerPort = 0;
+  /// Hosts of some control nodes; they may be out of date.
+  std::vector<std::string> m_SeedHosts;
+  std::optional<link::PeerAddress> m_CallerAddress;
+  std::optional<link::PeerAddress> m_ReadyAddress;
+  std::optional<link::PeerAddress> m_ControlAddress;
+  std::string m_DataFolder; ///< Empty on nodes without a disk.
+  /// The whole deployment starts for the first time.
+  bool m_Founding = false;
+  /// Nodes with a disk that may be lost at once.
+  std::uint32_t m_ToleratedLosses = 1;
+  /// A stopping process is killed after this long.
+  base::Duration m_StopGrace = base::seconds(8);
+  base::Duration m_AnnounceInterval = base::milliseconds(1200);
+  /// Longest delay of an event of a stream.
+  base::Duration m_DeliveryLag = base::milliseconds(120);
+
+  bool operator==(const NodeSettings &) const = default;
+};
+
+/// Where settings come from.
+class SettingsSource {
+public:
+  virtual ~SettingsSource() = default;
+
+  /// Throws UserError(BadRequest) that names the field at fault.
+  virtual NodeSettings load() const = 0;
+  /// Changes whenever the source may have changed.
+  virtual std::string fingerprint() const = 0;
+};
+
+} // namespace psp::node
+
+#endif
--- /dev/null
+++ b/src/programs/coordinator/Main.cpp
@@ -0,0 +1,49 @@
+/// \file
+/// The program psp-coordinator.
+
+#include "base/Error.h"
+#include "coordinator/Coordinator.h"
+#include "platform/BootFile.h"
+#include "platform/ConfigurationFormat.h"
+#include "platform/ControlDialect.h"
+
+#include <gflags/gflags.h>
+
+#include <cstdint>
+#include <cstdlib>
+#include <iostream>
+
+DEFINE_string(settings, "",
+              "Settings file; by default the one that the platform names");
+DEFINE_uint32(metrics_port, 0, "Port of the metrics, 0 for none");
+
+namespace {
+
+std::uint16_t port() { return static_cast<std::uint16_t>(FLAGS_metrics_port); }
+
+psp::platform::BootFile openSettings() {
+  return FLAGS_settings.empty() ? psp::platform::BootFile::fromEnvironment()
+                                : psp::platform::BootFile(FLAGS_settings);
+}
+
+void serve() {
+  const psp::platform::BootFile Source = openSettings();
+  const psp::platform::ControlDialect Protocol;
+  const psp::platform::ConfigurationFormat Format;
+  psp::coordinator::Coordinator Process({.m_MetricsPort = port()}, Source,
+                                        Protocol, Format);
+  Process.run();
+}
+
+} // namespace
+
+int main(int ArgumentCount, char **Arguments) {
+  gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
+  try {
+    serve();
+    return EXIT_SUCCESS;
+  } catch (const std::exception &Fault) {
+    std::cerr << "psp-coordinator: " << Fault.what() << '\n';
+    return EXIT_FAILURE;
+  }
+}
--- /dev/null
+++ b/src/programs/history/Main.cpp
@@ -0,0 +1,44 @@
+/// \file
+/// The program psp-history.
+
+#include "base/Error.h"
+#include "history/HistoryNode.h"
+#include "platform/BootFile.h"
+
+#include <gflags/gflags.h>
+
+#include <cstdint>
+#include <cstdlib>
+#include <iostream>
+
+DEFINE_string(settings, "",
+              "Settings file; by default the one that the platform names");
+DEFINE_uint32(metrics_port, 0, "Port of the metrics, 0 for none");
+
+namespace {
+
+std::uint16_t port() { return static_cast<std::uint16_t>(FLAGS_metrics_port); }
+
+psp::platform::BootFile openSettings() {
+  return FLAGS_settings.empty() ? psp::platform::BootFile::fromEnvironment()
+                                : psp::platform::BootFile(FLAGS_settings);
+}
+
+void serve() {
+  const psp::platform::BootFile Source = openSettings();
+  psp::history::HistoryNode Process({.m_MetricsPort = port()}, Source);
+  Process.run();
+}
+
+} // namespace
+
+int main(int ArgumentCount, char **Arguments) {
+  gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
+  try {
+    serve();
+    return EXIT_SUCCESS;
+  } catch (const std::exception &Fault) {
+    std::cerr << "psp-history: " << Fault.what() << '\n';
+    return EXIT_FAILURE;
+  }
+}
--- /dev/null
+++ b/src/turns/EnginePlacement.cpp
@@ -0,0 +1,132 @@
+#include "turns/EnginePlacement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <vector>
+
+namespace psp::turns {
+
+namespace {
+
+/// Weight of the newest observation in the smoothed gap between events.
+constexpr double NewestWeight = 0.4;
+/// What a turn beyond an engine's slots waits, as a share of a whole turn.
+constexpr double QueuedShare = 0.5;
+/// Silent engines are taken only when all others cost more than this, in ms.
+constexpr double SilentMs = 2000;
+
+} // namespace
+
+std::string EnginePlacement::place(const std::string &Turn,
+                                   const std::string &Program,
+                                   const std::string &Service,
+                                   const fleet::EndpointDirectory &Endpoints,
+                                   base::TimePoint Now) {
+  const auto Again = m_Running.find(Turn);
+  if (Again != m_Running.end())
+    return Again->second.m_Endpoint;
+  const auto Preferred = m_Preferences.find(Program);
+  std::vector<std::string> Best;
+  double Lowest = std::numeric_limits<double>::max();
+  Endpoints.forEachUsable(Service, [&](const fleet::EndpointState &Each) {
+    const bool Likes = Preferred != m_Preferences.end() &&
+                       Preferred->second.m_Endpoint == Each.id();
+    const double Cost = cost(Each, Likes, Now);
+    if (Cost < Lowest) {
+      Best.clear();
+      Lowest = Cost;
+    }
+    if (Cost <= Lowest)
+      Best.push_back(Each.id());
+  });
+  if (Best.empty())
+    return {};
+  const std::string Chosen = Best[m_Turn++ % Best.size()];
+  ++m_Engines[Chosen].m_Running;
+  m_Running[Turn] = {.m_Endpoint = Chosen, .m_Since = Now};
+  m_Preferences[Program] = {.m_Endpoint = Chosen, .m_At = Now};
+  return Chosen;
+}
+
+double EnginePlacement::cost(const fleet::EndpointState &Candidate,
+                             bool Preferred, base::TimePoint Now) const {
+  const auto Found = m_Engines.find(Candidate.id());
+  const Engine Known = Found == m_Engines.end() ? Engine{} : Found->second;
+  const double Fade = fadeFactor(Known.m_SeenAt, Now);
+  const double Typical = typicalGapUs();
+  double Slowness = 1;
+  if (Known.m_EventGapUs > 0 && Typical > 0)
+    Slowness = 1 + std::max(0.0, Known.m_EventGapUs / Typical - 1) * Fade;
+  const double Slots = std::max<std::uint32_t>(Candidate.slots(), 1);
+  const double Queued = std::max(0.0, Known.m_Running + 1 - Slots) / Slots;
+  double Total =
+      m_Options.m_TurnMs * Slowness * (1 + QueuedShare * Queued * Slots) +
+      m_Options.m_LoadMs * Known.m_Running * Slowness +
+      m_Options.m_FailureMs * Known.m_Failures * Fade;
+  if (!Preferred)
+    Total += m_Options.m_RereadMs;
+  if (Candidate.silent())
+    Total += SilentMs;
+  return Total;
+}
+
+double EnginePlacement::fadeFactor(base::TimePoint Since,
+                                   base::TimePoint Now) const {
+  const double Age = std::chrono::duration<double>(Now - Since).count();
+  const double Constant =
+      std::chrono::duration<double>(m_Options.m_FadeTime).count();
+  return std::exp(-std::max(0.0, Age) / Constant);
+}
+
+double EnginePlacement::typicalGapUs() const {
+  std::vector<double> Gaps;
+  for (const auto &[Id, Known] : m_Engines)
+    if (Known.m_EventGapUs > 0)
+      Gaps.push_back(Known.m_EventGapUs);
+  if (Gaps.empty())
+    return 0;
+  std::ranges::nth_element(Gaps, Gaps.begin() + Gaps.size() / 2);
+  return Gaps[Gaps.size() / 2];
+}
+
+void EnginePlacement::finish(const std::string &Turn, const Observation &Seen,
+                             base::TimePoint Now) {
+  const auto Found = m_Running.find(Turn);
+  if (Found != m_Running.end()) {
+    Engine &Left = m_Engines[Found->second.m_Endpoint];
+    Left.m_Running -= std::min(Left.m_Running, 1U);
+    m_Running.erase(Found);
+  }
+  if (Seen.m_Endpoint.empty())
+    return;
+  Engine &Ran = m_Engines[Seen.m_Endpoint];
+  Ran.m_Failures =
+      Ran.m_Failures * fadeFactor(Ran.m_SeenAt, Now) + (Seen.m_Failed ? 1 : 0);
+  if (Seen.m_EventGapUs > 0)
+    Ran.m_EventGapUs = Ran.m_EventGapUs <= 0
+                           ? Seen.m_EventGapUs
+                           : NewestWeight * Seen.m_EventGapUs +
+                                 (1 - NewestWeight) * Ran.m_EventGapUs;
+  Ran.m_SeenAt = Now;
+}
+
+void EnginePlacement::expire(base::TimePoint Now) {
+  std::erase_if(m_Running, [&](const auto &Row) {
+    if (Now - Row.second.m_Since < m_Options.m_TurnLimit)
+      return false;
+    Engine &Left = m_Engines[Row.second.m_Endpoint];
+    Left.m_Running -= std::min(Left.m_Running, 1U);
+    return true;
+  });
+  std::erase_if(m_Preferences, [&](const auto &Row) {
+    return Now - Row.second.m_At > m_Options.m_AffinityTime;
+  });
+}
+
+std::uint32_t EnginePlacement::runningOn(const std::string &Endpoint) const {
+  const auto Found = m_Engines.find(Endpoint);
+  return Found == m_Engines.end() ? 0 : Found->second.m_Running;
+}
+
+} // namespace psp::turns
--- /dev/null
+++ b/src/turns/EnginePlacement.h
@@ -0,0 +1,96 @@
+/// \file
+/// Chooses the engine for a turn, where all turns of the deployment are known.
+
+#ifndef PSP_TURNS_ENGINEPLACEMENT_H
+#define PSP_TURNS_ENGINEPLACEMENT_H
+
+#include "base/Time.h"
+#include "fleet/EndpointDirectory.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace psp::turns {
+
+struct EnginePlacementOptions {
+  /// Time of a typical turn on an idle engine, in milliseconds: half a dozen
+  /// events of a dozen tokens each.
+  double m_TurnMs = 180;
+  /// What each turn that already runs there adds, in milliseconds: its prompt
+  /// is read in chunks between the tokens of others.
+  double m_LoadMs = 6;
+  /// What reading the earlier turns of a program again costs, in milliseconds:
+  /// a chain of two thousand tokens.
+  double m_RereadMs = 25;
+  /// A failed turn weighs this much, in milliseconds, and fades.
+  double m_FailureMs = 400;
+  /// Observations of slowness and failures fade with this time constant.
+  base::Duration m_FadeTime = base::seconds(4);
+  /// A turn without news is taken as over after this long.
+  base::Duration m_TurnLimit = base::seconds(6);
+  /// Programs keep their preference for an engine this long.
+  base::Duration m_AffinityTime = base::seconds(20);
+};
+
+/// Load pattern: engines batch, so each turn slows the others on its engine;
+/// some engines turn slow or fail; a program's earlier turns are cached where
+/// it ran last.
+class EnginePlacement {
+public:
+  explicit EnginePlacement(EnginePlacementOptions Options = {})
+      : m_Options(Options) {}
+
+  /// The best engine of \p Service, and counts the turn there. Empty if no
+  /// engine is known.
+  std::string place(const std::string &Turn, const std::string &Program,
+                    const std::string &Service,
+                    const fleet::EndpointDirectory &Endpoints,
+                    base::TimePoint Now);
+
+  struct Observation {
+    std::string m_Endpoint;
+    std::uint32_t m_EventGapUs = 0; ///< Mean; zero: unknown.
+    bool m_Failed = false;
+  };
+  /// The turn is over.
+  void finish(const std::string &Turn, const Observation &Seen,
+              base::TimePoint Now);
+  /// Drops turns without news.
+  void expire(base::TimePoint Now);
+
+  std::uint32_t runningOn(const std::string &Endpoint) const;
+  std::size_t running() const { return m_Running.size(); }
+
+private:
+  struct Engine {
+    std::uint32_t m_Running = 0;
+    double m_EventGapUs = 0; ///< Smoothed; zero: unknown.
+    double m_Failures = 0;   ///< Faded count.
+    base::TimePoint m_SeenAt;
+  };
+  struct Running {
+    std::string m_Endpoint;
+    base::TimePoint m_Since;
+  };
+  struct Preference {
+    std::string m_Endpoint;
+    base::TimePoint m_At;
+  };
+
+  double cost(const fleet::EndpointState &Candidate, bool Preferred,
+              base::TimePoint Now) const;
+  double fadeFactor(base::TimePoint Since, base::TimePoint Now) const;
+  double typicalGapUs() const;
+
+  EnginePlacementOptions m_Options;
+  std::map<std::string, Engine> m_Engines;
+  std::map<std::string, Running> m_Running;        ///< By turn.
+  std::map<std::string, Preference> m_Preferences; ///< By program.
+  std::uint64_t m_Turn = 0; ///< Rotates between equal engines.
+};
+
+} // namespace psp::turns
+
+#endif
--- /dev/null
+++ b/src/turns/TurnLedger.h
@@ -0,0 +1,95 @@
+/// \file
+/// The replicated state of agent programs: what each has spent of its budget,
+/// and the turns that later turns may continue from.
+
+#ifndef PSP_TURNS_TURNLEDGER_H
+#define PSP_TURNS_TURNLEDGER_H
+
+#include "consensus/StateMachine.h"
+#include "generated/fleet.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace psp::turns {
+
+enum class BeginOutcome {
+  Granted,
+  BudgetSpent,
+  NoSuchTurn,
+  AlreadyEnded, ///< A late copy of a request whose turn is over.
+};
+
+struct TurnLedgerOptions {
+  /// A program without turns is forgotten after its retention and this long,
+  /// in milliseconds. A loop that was stopped may come back within the
+  /// retention.
+  std::uint64_t m_ProgramGraceMs = 120'000;
+};
+
+/// Deterministic. A turn reserves its most tokens before it runs and is
+/// charged for what its caller received when it ends, so the sum over all
+/// parallel turns stays inside the budget whatever fails between. A turn whose
+/// entry instance died keeps its reservation.
+class TurnLedger : public consensus::StateMachine {
+public:
+  using BeginTurn = messages::fleet::BeginTurn;
+  using EndTurn = messages::fleet::EndTurn;
+
+  explicit TurnLedger(TurnLedgerOptions Options = {}) : m_Options(Options) {}
+
+  void apply(std::uint64_t Index, std::string_view Command,
+             std::uint64_t WallMs) override;
+  std::string snapshot() const override;
+  void restore(std::string_view Snapshot) override;
+
+  /// The outcome of the begin that was applied last.
+  BeginOutcome lastBegin() const { return m_LastBegin; }
+
+  /// The inputs and outputs of \p Turn and all turns before it, oldest first;
+  /// nothing if \p Organisation has no such turn.
+  std::optional<std::string> chainText(const std::string &Organisation,
+                                       const std::string &Turn) const;
+  bool hasTurn(const std::string &Organisation, const std::string &Turn) const;
+
+  std::size_t turnCount() const { return m_Turns.size(); }
+  std::size_t programCount() const { return m_Programs.size(); }
+  /// Tokens charged and reserved, for tests and dumps.
+  std::uint64_t committedTokens(const std::string &Organisation,
+                                const std::string &Program) const;
+
+private:
+  struct KeptTurn {
+    std::string m_Organisation;
+    std::string m_Previous;
+    std::string m_Text;
+    std::uint64_t m_ExpiresMs = 0;
+  };
+  struct ProgramState {
+    std::uint64_t m_Spent = 0;
+    std::map<std::string, std::uint64_t> m_Reserved; ///< By turn.
+    std::set<std::string> m_Ended; ///< Turns whose late begin is ignored.
+    std::uint64_t m_ExpiresMs = 0;
+  };
+  using Key = std::string; ///< Organisation, a zero byte, and a name.
+
+  void begin(const BeginTurn &Command, std::uint64_t WallMs);
+  void end(const EndTurn &Command, std::uint64_t WallMs);
+  void keep(const EndTurn &Command, std::uint64_t WallMs);
+  void expire(std::uint64_t WallMs);
+  BeginOutcome reserve(const BeginTurn &Command, std::uint64_t WallMs);
+
+  TurnLedgerOptions m_Options;
+  std::map<Key, KeptTurn> m_Turns;
+  std::map<Key, ProgramState> m_Programs;
+  std::uint64_t m_ExpiredMs = 0; ///< When expire() last looked.
+  BeginOutcome m_LastBegin = BeginOutcome::Granted;
+};
+
+} // namespace psp::turns
+
+#endif
--- /dev/null
+++ b/src/web/HttpServer.cpp
@@ -0,0 +1,77 @@
+#include "web/HttpServer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <utility>
+
+namespace psp::web {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+HttpServer::HttpServer(asio::io_context &Io, HttpServerOptions Options,
+                       Handler Handle)
+    : m_Io(Io), m_Options(std::move(Options)), m_Handle(std::move(Handle)),
+      m_Acceptor(Io) {}
+
+void HttpServer::start() {
+  const tcp::endpoint At(asio::ip::make_address(m_Options.m_Address.m_Host),
+                         m_Options.m_Address.m_Port);
+  m_Acceptor.open(At.protocol());
+  m_Acceptor.set_option(asio::socket_base::reuse_address(true));
+  m_Acceptor.bind(At);
+  m_Acceptor.listen();
+  asio::co_spawn(m_Io, accept(), asio::detached);
+}
+
+asio::awaitable<void> HttpServer::accept() {
+  while (true) {
+    boost::system::error_code Error;
+    tcp::socket Socket = co_await m_Acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, Error));
+    if (!Error)
+      asio::co_spawn(m_Io, serve(std::move(Socket)), asio::detached);
+  }
+}
+
+asio::awaitable<void> HttpServer::serve(tcp::socket Socket) {
+  boost::beast::flat_buffer Buffer;
+  asio::steady_timer Idle(m_Io);
+  boost::system::error_code Error;
+  Socket.set_option(tcp::no_delay(true), Error);
+  bool KeepAlive = true;
+  while (KeepAlive) {
+    http::request_parser<http::string_body> Parser;
+    Parser.body_limit(m_Options.m_BodyBytes);
+    Idle.expires_after(m_Options.m_IdleTimeout);
+    Idle.async_wait([&Socket](boost::system::error_code Cancelled) {
+      boost::system::error_code Ignored; // The read reports its own.
+      if (!Cancelled)
+        Socket.close(Ignored);
+    });
+    co_await http::async_read(Socket, Buffer, Parser,
+                              asio::redirect_error(asio::use_awaitable, Error));
+    Idle.cancel();
+    if (Error)
+      co_return;
+    KeepAlive = Parser.keep_alive();
+    Response Answer = co_await m_Handle(Parser.get());
+    Answer.keep_alive(KeepAlive);
+    Answer.prepare_payload();
+    co_await http::async_write(
+        Socket, Answer, asio::redirect_error(asio::use_awaitable, Error));
+    if (Error)
+      co_return;
+  }
+}
+
+} // namespace psp::web
