Commit commands of history together; window for members that catch up; limits that can't act late

Two gateways ended with a segmentation fault: a timer's queued handler acted on a connection that was gone.

Ruled out: placement and engines (first byte p50 16 ms before the burst).

Left: engines are full for 10 s after the burst, and first turns aren't turned away.

--- a/src/consensus/Group.cpp
+++ b/src/consensus/Group.cpp
@@ -34,9 +34,9 @@
 void Group::start(const std::string &FreshIdentity, const base::Now &Now) {
   if (m_Log.identity().empty())
     m_Log.setIdentity(FreshIdentity);
-  if (m_Log.snapshot().index() > 0)
-    m_Machine.restore(m_Log.snapshot().state());
-  m_Applied = m_Log.snapshot().index();
+  if (m_Log.snapshotIndex() > 0)
+    m_Machine.restore(m_Log.takeRestoredState());
+  m_Applied = m_Log.snapshotIndex();
   m_Commit = m_Applied;
   m_Synced = m_Log.lastIndex();
   scheduleElection(Now.m_Monotonic);
@@ -115,7 +115,6 @@
   Entry.set_command(Command);
   const std::uint64_t Index =
       appendOwn(std::move(Entry), millisecondsOf(Now.m_Wall));
-  sendNews(Now.m_Monotonic);
   return Index;
 }
 
@@ -141,16 +140,13 @@
   messages::fleet::GroupEntry Entry;
   *Entry.mutable_membership() = Next;
   appendOwn(std::move(Entry), millisecondsOf(Now.m_Wall));
-  sendNews(Now.m_Monotonic);
   return true;
 }
 
-void Group::setLearners(const std::set<std::string> &Identities,
-                        const base::Now &Now) {
+void Group::setLearners(const std::set<std::string> &Identities) {
   if (!isLeader() || Identities == m_Learners)
     return;
   m_Learners = Identities;
-  sendNews(Now.m_Monotonic);
 }
 
 void Group::handOver(const base::Now &Now) {
@@ -173,7 +169,10 @@
   send(BestMember, true).set_elect_now(true);
 }
 
-std::vector<Group::Message> Group::takeEarly() {
+std::vector<Group::Message> Group::takeEarly(const base::Now &Now) {
+  // Whatever was proposed since the last call leaves together.
+  if (isLeader())
+    sendNews(Now.m_Monotonic);
   return std::exchange(m_Early, {});
 }
 
--- a/src/consensus/Group.h
+++ b/src/consensus/Group.h
@@ -53,10 +53,13 @@
   base::Duration m_ResendInterval = base::milliseconds(250);
   /// Longest batch of entries in one message, in bytes.
   std::uint64_t m_BatchBytes = 512U << 10U;
+  /// Entries on their way to one member without an answer, in bytes: what a
+  /// member that catches up may hold in memory twice.
+  std::uint64_t m_WindowBytes = 1U << 20U;
   /// Tells followers of each commit at once, where others wait for them.
   bool m_AnnounceCommits = true;
   /// Entries before a snapshot replaces them, in bytes.
-  std::uint64_t m_CompactBytes = 8U << 20U;
+  std::uint64_t m_CompactBytes = 12U << 20U;
   std::uint64_t m_Seed = 0;
 };
 
@@ -99,13 +102,12 @@
   /// Proposes \p Next, which differs by one member. False if it can't now.
   bool changeMembership(const Membership &Next, const base::Now &Now);
   /// Nodes that receive the log without being members, while leading.
-  void setLearners(const std::set<std::string> &Identities,
-                   const base::Now &Now);
+  void setLearners(const std::set<std::string> &Identities);
   /// Hands leadership to the member that follows best.
   void handOver(const base::Now &Now);
 
   /// Messages that need no sync before they leave.
-  std::vector<Message> takeEarly();
+  std::vector<Message> takeEarly(const base::Now &Now);
   std::vector<Message> takeMessages();
   std::optional<GroupCheckpoint> takeCheckpoint();
 
@@ -131,6 +133,7 @@
     std::uint64_t m_Next = 1;
     std::uint64_t m_Match = 0;
     std::uint64_t m_Round = 0;
+    std::uint64_t m_SentBytes = 0; ///< Of entries without an answer.
     std::optional<base::TimePoint> m_Heard;
     base::TimePoint m_SentAt;
     base::TimePoint m_SnapshotAt;
@@ -159,6 +162,9 @@
 
   // Replication, in GroupReplication.cpp.
   void sendAppend(const std::string &To, base::TimePoint Now);
+  void sendSnapshot(const std::string &To);
+  messages::fleet::GroupSnapshot makeSnapshot() const;
+  std::uint64_t bytesOnTheWay(const Progress &Peer) const;
   void sendNews(base::TimePoint Now);
   void broadcast(base::TimePoint Now);
   void onAppend(const Message &Received, base::TimePoint Now);
--- a/src/consensus/GroupLog.cpp
+++ b/src/consensus/GroupLog.cpp
@@ -3,6 +3,7 @@
 #include "base/Error.h"
 #include "messages/Parse.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace psp::consensus {
@@ -55,30 +56,40 @@
 }
 
 void GroupLog::install(const Snapshot &Content) {
+  GroupRecord Record;
+  *Record.mutable_snapshot() = Content;
+  write(Record);
   m_Base = Content;
+  m_Base.clear_state();
   m_Entries.clear();
   m_EntryBytes = 0;
   findMembership();
-  GroupRecord Record;
-  *Record.mutable_snapshot() = Content;
-  write(Record);
 }
 
-std::string GroupLog::compact(const Snapshot &Content) {
+std::string GroupLog::compact(Snapshot Content) {
   while (!m_Entries.empty() && m_Entries.front().index() <= Content.index()) {
     m_EntryBytes -= m_Entries.front().ByteSizeLong();
     m_Entries.pop_front();
   }
-  m_Base = Content;
   GroupRecord Record;
   Record.set_identity(m_Identity);
   Record.set_has_term(true);
   Record.set_term(m_Term);
   Record.set_vote(m_Vote);
-  *Record.mutable_snapshot() = m_Base;
+  *Record.mutable_snapshot() = std::move(Content);
   for (const Entry &Each : m_Entries)
     *Record.add_tail() = Each;
-  return Record.SerializeAsString();
+  std::string Bytes = Record.SerializeAsString();
+  m_Base = std::move(*Record.mutable_snapshot());
+  m_Base.clear_state();
+  findMembership();
+  return Bytes;
+}
+
+std::string GroupLog::takeRestoredState() {
+  std::string State = std::move(*m_Base.mutable_state());
+  m_Base.clear_state();
+  return State;
 }
 
 std::uint64_t GroupLog::lastTerm() const {
@@ -105,6 +116,14 @@
              : at(m_MembershipIndex).membership();
 }
 
+const GroupLog::Membership &GroupLog::membershipAt(std::uint64_t Index) const {
+  for (std::uint64_t At = std::min(Index, lastIndex()); At >= firstIndex();
+       --At)
+    if (this->at(At).has_membership())
+      return this->at(At).membership();
+  return m_Base.membership();
+}
+
 void GroupLog::findMembership() {
   m_MembershipIndex = m_Base.index();
   for (const Entry &Each : m_Entries)
--- a/src/consensus/GroupLog.h
+++ b/src/consensus/GroupLog.h
@@ -42,8 +42,10 @@
   /// Replaces everything by a snapshot from the leader.
   void install(const Snapshot &Content);
   /// Drops the entries up to \p Content's index. Returns the record that
-  /// replaces all records so far.
-  std::string compact(const Snapshot &Content);
+  /// replaces all records so far. The state is kept in that record only.
+  std::string compact(Snapshot Content);
+  /// The state of the restored snapshot, once.
+  std::string takeRestoredState();
 
   std::uint64_t firstIndex() const { return m_Base.index() + 1; }
   std::uint64_t lastIndex() const { return m_Base.index() + m_Entries.size(); }
@@ -51,10 +53,12 @@
   /// The term of the entry at \p Index, if it is still known.
   std::optional<std::uint64_t> termAt(std::uint64_t Index) const;
   const Entry &at(std::uint64_t Index) const;
-  const Snapshot &snapshot() const { return m_Base; }
+  std::uint64_t snapshotIndex() const { return m_Base.index(); }
 
   /// The newest membership, committed or not.
   const Membership &membership() const;
+  /// The membership that was in force at \p Index.
+  const Membership &membershipAt(std::uint64_t Index) const;
   /// Index of the newest membership.
   std::uint64_t membershipIndex() const { return m_MembershipIndex; }
   std::uint64_t entryBytes() const { return m_EntryBytes; }
@@ -71,7 +75,7 @@
   std::string m_Identity;
   std::uint64_t m_Term = 0;
   std::string m_Vote;
-  Snapshot m_Base;
+  Snapshot m_Base; ///< Without the state, but while restoring.
   std::deque<Entry> m_Entries;
   std::uint64_t m_EntryBytes = 0;
   std::uint64_t m_MembershipIndex = 0;
--- a/src/consensus/GroupReplication.cpp
+++ b/src/consensus/GroupReplication.cpp
@@ -31,9 +31,12 @@
 }
 
 void Group::sendNews(base::TimePoint Now) {
-  for (const std::string &Each : receivers())
-    if (m_Progress[Each].m_Next <= m_Log.lastIndex())
+  for (const std::string &Each : receivers()) {
+    const Progress &Peer = m_Progress[Each];
+    if (Peer.m_Next <= m_Log.lastIndex() &&
+        bytesOnTheWay(Peer) < m_Options.m_WindowBytes)
       sendAppend(Each, Now);
+  }
 }
 
 void Group::sendAppend(const std::string &To, base::TimePoint Now) {
@@ -47,7 +50,7 @@
   if (!PreviousTerm) {
     if (Now - Peer.m_SnapshotAt > 4 * m_Options.m_ResendInterval) {
       Peer.m_SnapshotAt = Now;
-      *send(To, true).mutable_snapshot() = m_Log.snapshot();
+      sendSnapshot(To);
     }
     return;
   }
@@ -57,15 +60,43 @@
   Append.set_commit(m_Commit);
   Append.set_round(m_Round);
   std::uint64_t Bytes = 0;
-  while (Peer.m_Next <= m_Log.lastIndex() && Bytes < m_Options.m_BatchBytes) {
+  const std::uint64_t OnTheWay = bytesOnTheWay(Peer);
+  while (Peer.m_Next <= m_Log.lastIndex() && Bytes < m_Options.m_BatchBytes &&
+         OnTheWay + Bytes < m_Options.m_WindowBytes) {
     const auto &Entry = m_Log.at(Peer.m_Next++);
     Bytes += Entry.ByteSizeLong();
     *Append.add_entries() = Entry;
   }
+  Peer.m_SentBytes = OnTheWay + Bytes;
   if (Append.entries_size() > 0 || Unanswered)
     Peer.m_SentAt = Now;
 }
 
+void Group::sendSnapshot(const std::string &To) {
+  *send(To, true).mutable_snapshot() = makeSnapshot();
+}
+
+/// Of the state that is applied now.
+messages::fleet::GroupSnapshot Group::makeSnapshot() const {
+  messages::fleet::GroupSnapshot Content;
+  Content.set_index(m_Applied);
+  Content.set_term(*m_Log.termAt(m_Applied));
+  *Content.mutable_membership() = m_Log.membershipAt(m_Applied);
+  Content.set_state(m_Machine.snapshot());
+  return Content;
+}
+
+std::uint64_t Group::bytesOnTheWay(const Progress &Peer) const {
+  std::uint64_t Bytes = 0;
+  const std::uint64_t First = std::max(Peer.m_Match + 1, m_Log.firstIndex());
+  for (std::uint64_t Index = First;
+       Index < Peer.m_Next && Index <= m_Log.lastIndex() &&
+       Bytes < m_Options.m_WindowBytes;
+       ++Index)
+    Bytes += m_Log.at(Index).ByteSizeLong();
+  return Bytes;
+}
+
 void Group::acceptLeader(const Message &Received, base::TimePoint Now) {
   if (m_Role == GroupRole::Candidate)
     stepDown(Now);
@@ -84,7 +115,7 @@
   }
   acceptLeader(Received, Now);
   const auto KnownTerm = m_Log.termAt(Append.previous_index());
-  const bool Compacted = Append.previous_index() < m_Log.snapshot().index();
+  const bool Compacted = Append.previous_index() < m_Log.snapshotIndex();
   if (!Compacted && (!KnownTerm || *KnownTerm != Append.previous_term())) {
     auto &Reply = *send(Received.from()).mutable_append_reply();
     Reply.set_accepted(false);
@@ -95,7 +126,7 @@
   std::uint64_t Match = Append.previous_index();
   for (const auto &Entry : Append.entries()) {
     Match = Entry.index();
-    if (Entry.index() <= m_Log.snapshot().index())
+    if (Entry.index() <= m_Log.snapshotIndex())
       continue;
     const auto Held = m_Log.termAt(Entry.index());
     if (Held && *Held == Entry.term())
@@ -127,6 +158,10 @@
     sendAppend(Received.from(), Now);
     return;
   }
+  // Half of a window on its way is as good as acknowledged: the next batch
+  // leaves while the rest is being written.
+  if (Reply.match() > Peer.m_Match)
+    Peer.m_SentBytes -= std::min(Peer.m_SentBytes, m_Options.m_BatchBytes);
   Peer.m_Match = std::max(Peer.m_Match, Reply.match());
   Peer.m_Next = std::max(Peer.m_Next, Peer.m_Match + 1);
   if (Peer.m_Next <= m_Log.lastIndex())
@@ -206,19 +241,11 @@
 void Group::compactIfLong() {
   if (m_Log.entryBytes() < m_Options.m_CompactBytes)
     return;
-  messages::fleet::GroupSnapshot Content;
-  Content.set_index(m_Applied);
-  Content.set_term(*m_Log.termAt(m_Applied));
-  // An uncommitted membership stays in the tail.
-  const bool Committed = m_Log.membershipIndex() <= m_Applied;
-  if (!Committed)
-    return;
-  *Content.mutable_membership() = m_Log.membership();
-  Content.set_state(m_Machine.snapshot());
+  messages::fleet::GroupSnapshot Content = makeSnapshot();
   // Encoded first: a record that is appended later must not be covered.
   const std::uint64_t Covered = m_Log.lastRecord();
-  m_Checkpoint =
-      GroupCheckpoint{.m_Record = m_Log.compact(Content), .m_Covered = Covered};
+  m_Checkpoint = GroupCheckpoint{.m_Record = m_Log.compact(std::move(Content)),
+                                 .m_Covered = Covered};
 }
 
 } // namespace psp::consensus
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -171,6 +171,7 @@
        {"route", m_Route ? m_Route->m_Name : ""},
        {"organisation", m_Organisation ? m_Organisation->m_Name : ""},
        {"configuration", m_Table ? m_Table->configuration().m_Version : 0},
+       {"previous_turn", m_Facts.m_PreviousTurn},
        {"runs", m_Runs},
        {"age_us", static_cast<std::uint64_t>((now() - m_Arrived).count())}});
   Response Answer = m_Owner.protocol().makeRefusal(m_Facts, Reason);
--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -2,11 +2,11 @@
 
 #include "gateway/Call.h"
 #include "gateway/Gateway.h"
+#include "web/OperationLimit.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -32,7 +32,8 @@
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
 public:
   CallerSession(Gateway &Owner, tcp::socket Socket)
-      : m_Owner(Owner), m_Socket(std::move(Socket)), m_Timer(Owner.io()) {}
+      : m_Owner(Owner), m_Socket(std::move(Socket)),
+        m_Timer(Owner.io().get_executor()) {}
 
   asio::awaitable<void> run();
 
@@ -47,7 +48,7 @@
 
   Gateway &m_Owner;
   tcp::socket m_Socket;
-  asio::steady_timer m_Timer;
+  web::OperationLimit m_Timer;
   boost::beast::flat_buffer m_Buffer;
 };
 
@@ -132,13 +133,10 @@
 }
 
 void CallerSession::limit(base::Duration Time) {
-  m_Timer.expires_after(Time);
-  m_Timer.async_wait(
-      [Self = shared_from_this()](boost::system::error_code Cancelled) {
-        boost::system::error_code Ignored; // The read reports its own.
-        if (!Cancelled)
-          Self->m_Socket.close(Ignored);
-      });
+  m_Timer.set(Time, [this] {
+    boost::system::error_code Ignored; // The read reports its own.
+    m_Socket.close(Ignored);
+  });
 }
 
 fleet::CallerLimits CallerSession::limits() const {
--- a/src/gateway/EndpointChannel.cpp
+++ b/src/gateway/EndpointChannel.cpp
@@ -1,7 +1,8 @@
 #include "gateway/EndpointChannel.h"
 
+#include "web/OperationLimit.h"
+
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -51,11 +52,8 @@
   const auto Target = parseAddress(m_Address);
   if (!Target)
     co_return false;
-  asio::steady_timer Timer(m_Io, Limit);
-  Timer.async_wait([this](boost::system::error_code Cancelled) {
-    if (!Cancelled)
-      abort();
-  });
+  web::OperationLimit Timer(m_Io.get_executor());
+  Timer.set(Limit, [this] { abort(); });
   boost::system::error_code Error;
   co_await m_Socket.async_connect(
       *Target, asio::redirect_error(asio::use_awaitable, Error));
--- a/src/history/HistoryDesk.cpp
+++ b/src/history/HistoryDesk.cpp
@@ -74,12 +74,26 @@
                      m_Now);
 }
 
+bool HistoryDesk::joins(const std::string &Node, const Request &Asked) {
+  const std::string &Turn =
+      Asked.has_begin() ? Asked.begin().turn() : Asked.end().turn();
+  for (auto &[Index, Known] : m_Waiting) {
+    if (Known.m_Turn != Turn || Known.m_Begins != Asked.has_begin())
+      continue;
+    Known.m_Node = Node;
+    Known.m_RequestId = Asked.id();
+    return true;
+  }
+  return false;
+}
+
 void HistoryDesk::expect(std::uint64_t Index, const std::string &Node,
                          const Request &Asked) {
   m_Waiting[Index] = {.m_Node = Node,
                       .m_RequestId = Asked.id(),
                       .m_Turn = Asked.has_begin() ? Asked.begin().turn()
-                                                  : Asked.end().turn()};
+                                                  : Asked.end().turn(),
+                      .m_Begins = Asked.has_begin()};
 }
 
 void HistoryDesk::failAll(const std::string &Leader) {
--- a/src/history/HistoryDesk.h
+++ b/src/history/HistoryDesk.h
@@ -37,6 +37,12 @@
     m_Ledger.restore(Snapshot);
   }
 
+  /// Whether the same command waits already; its answer then goes to \p Asked.
+  /// Load pattern: a slow leader, whose askers repeat themselves.
+  bool joins(const std::string &Node, const Request &Asked);
+  /// Commands that wait for their commit.
+  std::size_t waiting() const { return m_Waiting.size(); }
+
   /// \p Asked was proposed at \p Index.
   void expect(std::uint64_t Index, const std::string &Node,
               const Request &Asked);
@@ -57,6 +63,7 @@
     std::string m_Node;
     std::uint64_t m_RequestId = 0;
     std::string m_Turn;
+    bool m_Begins = false;
   };
 
   Reply answerBegin(const messages::fleet::BeginTurn &Begin);
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -17,6 +17,9 @@
 /// Time for the last messages of a stopping process to leave.
 constexpr base::Duration StopDelay = base::milliseconds(300);
 constexpr std::size_t IdentityBytes = 8;
+/// Begins are refused while this many commands wait for their commit: more than
+/// a leader commits in the time that an entry instance waits.
+constexpr std::size_t MostWaiting = 200;
 
 } // namespace
 
@@ -95,6 +98,15 @@
 }
 
 void HistoryNode::propose(const std::string &From, const Request &Asked) {
+  if (m_Desk.joins(From, Asked))
+    return;
+  // Ends are always taken: they free what begins have reserved.
+  if (Asked.has_begin() && m_Desk.waiting() >= MostWaiting) {
+    Reply Answer;
+    Answer.set_kind(messages::fleet::REPLY_UNAVAILABLE);
+    reply(From, Asked.id(), std::move(Answer));
+    return;
+  }
   messages::fleet::HistoryCommand Command;
   if (Asked.has_begin())
     *Command.mutable_begin() = Asked.begin();
--- a/src/link/GroupHost.cpp
+++ b/src/link/GroupHost.cpp
@@ -1,5 +1,7 @@
 #include "link/GroupHost.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -23,7 +25,7 @@
                      consensus::StateMachine &Machine, Hub &Links,
                      fleet::NodeDirectory &Nodes, logging::EventLog &Log,
                      Handlers Handle)
-    : m_Timer(Io), m_Options(std::move(Options)), m_Links(Links),
+    : m_Io(Io), m_Timer(Io), m_Options(std::move(Options)), m_Links(Links),
       m_Nodes(Nodes), m_Log(Log), m_Handle(std::move(Handle)),
       m_Journal(
           {.m_Folder = m_Options.m_Folder},
@@ -49,18 +51,18 @@
 
 void GroupHost::onMessage(const Group::Message &Received) {
   m_Group.onMessage(Received, base::readClocks());
-  settle();
+  settleSoon();
 }
 
 std::optional<std::uint64_t> GroupHost::propose(const std::string &Command) {
   const auto Index = m_Group.propose(Command, base::readClocks());
-  settle();
+  settleSoon();
   return Index;
 }
 
 std::optional<std::uint64_t> GroupHost::beginRead() {
   const auto Ticket = m_Group.beginRead(base::readClocks());
-  settle();
+  settleSoon();
   return Ticket;
 }
 
@@ -86,6 +88,18 @@
                                       });
 }
 
+/// Settles after whatever else is ready to be handled, so that one sync and one
+/// message serve all of it. Load pattern: a burst, in which a sync for each
+/// command would take longer than the commands come.
+void GroupHost::settleSoon() {
+  if (std::exchange(m_SettleQueued, true))
+    return;
+  boost::asio::post(m_Io, [this] {
+    m_SettleQueued = false;
+    settle();
+  });
+}
+
 /// Sends what needs no sync, syncs once for everything that was appended, and
 /// sends the rest. Handlers may propose again, so it repeats until quiet.
 void GroupHost::settle() {
@@ -93,7 +107,7 @@
     return;
   bool Busy = true;
   while (Busy) {
-    for (Group::Message &Each : m_Group.takeEarly())
+    for (Group::Message &Each : m_Group.takeEarly(base::readClocks()))
       send(std::move(Each));
     if (auto Checkpoint = m_Group.takeCheckpoint()) {
       m_Journal.sync();
@@ -106,7 +120,7 @@
       send(std::move(Each));
     const std::uint64_t Before = m_Group.lastIndex();
     m_Handle.m_OnProgress();
-    auto Early = m_Group.takeEarly();
+    auto Early = m_Group.takeEarly(base::readClocks());
     Busy = !Early.empty() || m_Group.lastIndex() != Before;
     for (Group::Message &Each : Early)
       send(std::move(Each));
@@ -147,7 +161,7 @@
   }
   m_PlanAt = Now.m_Monotonic + m_Options.m_PlanInterval;
   const consensus::MembershipPlanInput Input = planInput(Now.m_Monotonic);
-  m_Group.setLearners(consensus::planLearners(Input, LearnersKept), Now);
+  m_Group.setLearners(consensus::planLearners(Input, LearnersKept));
   const auto Next = consensus::planMembership(Input);
   if (!Next || !m_Group.changeMembership(*Next, Now))
     return;
--- a/src/link/GroupHost.h
+++ b/src/link/GroupHost.h
@@ -67,6 +67,7 @@
   bool isMemberNode(const std::string &Node) const;
 
 private:
+  void settleSoon();
   void settle();
   void send(consensus::Group::Message Message);
   void armTimer();
@@ -75,6 +76,7 @@
   bool leaderIsRetiring() const;
   void reportRole();
 
+  boost::asio::io_context &m_Io;
   boost::asio::steady_timer m_Timer;
   GroupHostOptions m_Options;
   Hub &m_Links;
@@ -89,6 +91,7 @@
   consensus::GroupRole m_ReportedRole = consensus::GroupRole::Follower;
   std::string m_ReportedLeader;
   bool m_Settling = false;
+  bool m_SettleQueued = false;
 };
 
 } // namespace psp::link
--- a/src/link/Hub.cpp
+++ b/src/link/Hub.cpp
@@ -1,5 +1,7 @@
 #include "link/Hub.h"
 
+#include "web/OperationLimit.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -77,16 +79,15 @@
   while (m_Dialled[At].m_Wanted) {
     tcp::socket Socket(m_Io);
     boost::system::error_code Error;
-    Timer.expires_after(m_Options.m_ConnectTimeout);
-    Timer.async_wait([&Socket](boost::system::error_code Cancelled) {
+    web::OperationLimit Limit(m_Io.get_executor());
+    Limit.set(m_Options.m_ConnectTimeout, [&Socket] {
       boost::system::error_code Ignored; // The connect reports its own.
-      if (!Cancelled)
-        Socket.close(Ignored);
+      Socket.close(Ignored);
     });
     co_await Socket.async_connect(
         tcp::endpoint(asio::ip::make_address(At.m_Host), At.m_Port),
         asio::redirect_error(asio::use_awaitable, Error));
-    Timer.cancel();
+    Limit.cancel();
     if (!Error && Socket.is_open()) {
       std::shared_ptr<Link> Opened = open(std::move(Socket));
       m_Dialled[At].m_Link = Opened;
--- a/src/web/HttpServer.cpp
+++ b/src/web/HttpServer.cpp
@@ -1,9 +1,10 @@
 #include "web/HttpServer.h"
 
+#include "web/OperationLimit.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -45,18 +46,16 @@
 
 asio::awaitable<void> HttpServer::serve(tcp::socket Socket) {
   boost::beast::flat_buffer Buffer;
-  asio::steady_timer Idle(m_Io);
+  OperationLimit Idle(m_Io.get_executor());
   boost::system::error_code Error;
   Socket.set_option(tcp::no_delay(true), Error);
   bool KeepAlive = true;
   while (KeepAlive) {
     http::request_parser<http::string_body> Parser;
     Parser.body_limit(m_Options.m_BodyBytes);
-    Idle.expires_after(m_Options.m_IdleTimeout);
-    Idle.async_wait([&Socket](boost::system::error_code Cancelled) {
+    Idle.set(m_Options.m_IdleTimeout, [&Socket] {
       boost::system::error_code Ignored; // The read reports its own.
-      if (!Cancelled)
-        Socket.close(Ignored);
+      Socket.close(Ignored);
     });
     co_await http::async_read(Socket, Buffer, Parser,
                               asio::redirect_error(asio::use_awaitable, Error));
