Turn new programs away while engines are full; keep shared first parts on three engines

A fifth of all prompt tokens read were shared first parts that every engine read again.

Ruled out: the history leader (7 ms before the send), the plain service (13 ms).

Change: TurnAdmission at the history leader. Later turns go first and wait up to 1.2 s for a place, new programs begin below 0.6 of the slots and are else refused at once with a time to come back. EnginePlacement prefers three engines for each first part.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -137,10 +137,24 @@
   Begin.set_service(m_Service);
   Begin.set_session(m_Facts.m_Session);
   Begin.set_wants_endpoint(true);
+  Begin.set_prompt_prefix(m_Facts.m_PromptPrefix);
+  if (m_Facts.m_ProgramTimeLeft) {
+    Begin.set_has_program_left(true);
+    Begin.set_program_left_ms(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<base::milliseconds>(
+            *m_Facts.m_ProgramTimeLeft)
+            .count()));
+  }
   m_TurnOpen = true;
-  const auto Answer = co_await m_Owner.askLeader(
-      messages::fleet::NODE_HISTORY, Asked,
-      std::min(m_Owner.options().m_LeaderWait, timeLeft()));
+  std::optional<Reply> Answer;
+  const TimePoint Until =
+      now() + std::min(m_Owner.options().m_LeaderWait, timeLeft());
+  // Without a time to come back the leader means: wait on, in its queue.
+  do {
+    Answer = co_await m_Owner.askLeader(messages::fleet::NODE_HISTORY, Asked,
+                                        Until - now());
+  } while (Answer && Answer->kind() == messages::fleet::REPLY_BUSY &&
+           Answer->wait_ms() == 0 && !isOver() && now() < Until);
   if (!Answer || Answer->kind() == messages::fleet::REPLY_UNAVAILABLE)
     co_return Refusal(ErrorKind::QuorumUnavailable,
                       "no leader of history answered", ElectionRetry);
@@ -150,6 +164,12 @@
     co_return std::nullopt;
   }
   m_TurnOpen = false;
+  if (Answer->kind() == messages::fleet::REPLY_BUSY)
+    co_return Refusal(ErrorKind::Overloaded,
+                      "the engines are full and the turn has to wait its turn",
+                      Answer->wait_ms() > 0
+                          ? base::milliseconds(Answer->wait_ms())
+                          : EndpointRetry);
   if (Answer->kind() == messages::fleet::REPLY_BUDGET_SPENT)
     co_return Refusal(ErrorKind::BudgetExceeded,
                       "the program's token budget is spent");
--- a/src/gateway/CallProtocol.h
+++ b/src/gateway/CallProtocol.h
@@ -34,6 +34,7 @@
   /// Time until the program should be finished.
   std::optional<base::Duration> m_ProgramTimeLeft;
   std::string m_PreviousTurn;
+  std::string m_PromptPrefix; ///< First part, which many programs share.
   /// Tokens that all turns of the program may generate; absent: no turn.
   std::optional<std::uint64_t> m_TokenBudget;
   std::uint64_t m_MostTokens = 0; ///< That this turn may generate.
--- a/src/history/HistoryDesk.cpp
+++ b/src/history/HistoryDesk.cpp
@@ -61,8 +61,7 @@
     Answer.set_text(m_Ledger.chainText(Begin.organisation(), Begin.previous())
                         .value_or(""));
   if (Begin.wants_endpoint())
-    Answer.set_endpoint(m_Placement.place(Begin.turn(), Begin.program(),
-                                          Begin.service(), m_Endpoints, m_Now));
+    Answer.set_endpoint(m_Placement.place(Begin, m_Endpoints, m_Now));
   return Answer;
 }
 
@@ -107,6 +106,17 @@
   m_Waiting.clear();
 }
 
+turns::TurnAdmission::Load HistoryDesk::load(const std::string &Service) const {
+  turns::TurnAdmission::Load Sum;
+  m_Endpoints.forEachUsable(Service, [&](const fleet::EndpointState &Each) {
+    Sum.m_Slots += Each.slots();
+    Sum.m_Running += m_Placement.runningOn(Each.id());
+  });
+  for (const auto &[Index, Asked] : m_Waiting)
+    Sum.m_Running += Asked.m_Begins ? 1 : 0;
+  return Sum;
+}
+
 std::vector<AddressedReply> HistoryDesk::takeReplies() {
   return std::exchange(m_Replies, {});
 }
--- a/src/history/HistoryDesk.h
+++ b/src/history/HistoryDesk.h
@@ -8,6 +8,7 @@
 #include "consensus/StateMachine.h"
 #include "fleet/EndpointDirectory.h"
 #include "turns/EnginePlacement.h"
+#include "turns/TurnAdmission.h"
 #include "turns/TurnLedger.h"
 
 #include <cstdint>
@@ -56,7 +57,8 @@
 
   turns::TurnLedger &ledger() { return m_Ledger; }
   fleet::EndpointDirectory &endpoints() { return m_Endpoints; }
-  const turns::EnginePlacement &placement() const { return m_Placement; }
+  /// Turns of \p Service that run or are about to begin, and its slots.
+  turns::TurnAdmission::Load load(const std::string &Service) const;
 
 private:
   struct Waiting {
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -20,6 +20,8 @@
 /// Begins are refused while this many commands wait for their commit: more than
 /// a leader commits in the time that an entry instance waits.
 constexpr std::size_t MostWaiting = 200;
+/// Waiting turns are looked at this often, beside each end of a turn.
+constexpr base::Duration AdmitInterval = base::milliseconds(40);
 
 } // namespace
 
@@ -29,7 +31,8 @@
               .m_Kind = NODE_HISTORY,
               .m_MetricsPort = Options.m_MetricsPort},
              Source),
-      m_HouseTimer(m_Node.io()) {
+      m_Admission({.m_Seed = base::stableHash(m_Node.settings().m_Name)}),
+      m_HouseTimer(m_Node.io()), m_AdmitTimer(m_Node.io()) {
   const node::NodeSettings &Settings = m_Node.settings();
   const std::uint64_t Seed =
       base::stableHash(Settings.m_Name + std::to_string(readClocks().m_Wall));
@@ -93,10 +96,69 @@
   }
   if (Asked.has_retire())
     reply(From, Asked.id(), retire(Asked.retire()));
-  else if (Asked.has_begin() || Asked.has_end())
+  else if (Asked.has_begin())
+    offer(From, Asked);
+  else if (Asked.has_end())
     propose(From, Asked);
 }
 
+void HistoryNode::offer(const std::string &From, const Request &Asked) {
+  const auto &Begin = Asked.begin();
+  const turns::TurnAdmission::Offer Offered = {
+      .m_Node = From,
+      .m_Request = Asked,
+      .m_NewProgram =
+          !m_Desk.ledger().hasProgram(Begin.organisation(), Begin.program()),
+      .m_ArrivedAt = readClocks().m_Monotonic};
+  switch (m_Admission.decide(Offered, m_Desk.load(Begin.service()))) {
+  case turns::TurnAdmission::Decision::Begin:
+    propose(From, Asked);
+    break;
+  case turns::TurnAdmission::Decision::Refuse:
+    refuseBusy(Offered, m_Admission.retryAfter());
+    break;
+  case turns::TurnAdmission::Decision::Wait:
+    if (m_Admission.waiting() == 1)
+      admitWaiting();
+    break;
+  }
+}
+
+void HistoryNode::refuseBusy(const turns::TurnAdmission::Offer &Asked,
+                             base::Duration RetryAfter) {
+  const auto &Begin = Asked.m_Request.begin();
+  const auto Load = m_Desk.load(Begin.service());
+  m_Node.log().write("turn_turned_away",
+                     {{"request", Begin.turn()},
+                      {"new_program", Asked.m_NewProgram ? "yes" : "no"},
+                      {"running", Load.m_Running},
+                      {"slots", Load.m_Slots},
+                      {"waiting", m_Admission.waiting()}});
+  Reply Answer;
+  Answer.set_kind(messages::fleet::REPLY_BUSY);
+  Answer.set_wait_ms(static_cast<std::uint32_t>(
+      std::chrono::duration_cast<base::milliseconds>(RetryAfter).count()));
+  reply(Asked.m_Node, Asked.m_Request.id(), std::move(Answer));
+}
+
+/// Begins turns that waited as places come free; called while any waits.
+void HistoryNode::admitWaiting() {
+  if (m_Admission.waiting() == 0)
+    return;
+  const std::string Service = m_Admission.nextService();
+  for (const auto &Each : m_Admission.takeReady(m_Desk.load(Service)))
+    propose(Each.m_Node, Each.m_Request);
+  for (const auto &Each : m_Admission.takeOverdue(readClocks().m_Monotonic))
+    refuseBusy(Each, base::Duration(0));
+  if (m_Admission.waiting() == 0)
+    return;
+  m_AdmitTimer.expires_after(AdmitInterval);
+  m_AdmitTimer.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      admitWaiting();
+  });
+}
+
 void HistoryNode::propose(const std::string &From, const Request &Asked) {
   if (m_Desk.joins(From, Asked))
     return;
@@ -159,12 +221,17 @@
 
 void HistoryNode::onProgress() {
   const bool Leads = m_Group && m_Group->group().isLeader();
-  if (std::exchange(m_Led, Leads) && !Leads)
+  if (std::exchange(m_Led, Leads) && !Leads) {
     m_Desk.failAll(m_Group->leaderNode());
+    for (const auto &Each : m_Admission.takeAll())
+      refuseBusy(Each, base::Duration(0));
+  }
   for (AddressedReply &Each : m_Desk.takeReplies()) {
     const std::uint64_t Id = Each.m_Reply.id();
     reply(Each.m_Node, Id, std::move(Each.m_Reply));
   }
+  if (m_Admission.waiting() > 0)
+    admitWaiting();
 }
 
 void HistoryNode::housekeeping() {
--- a/src/history/HistoryNode.h
+++ b/src/history/HistoryNode.h
@@ -34,7 +34,11 @@
 
   void onMessage(const NodeState &From, LinkMessage &Message);
   void onRequest(const std::string &From, const Request &Asked);
+  void offer(const std::string &From, const Request &Asked);
   void propose(const std::string &From, const Request &Asked);
+  void refuseBusy(const turns::TurnAdmission::Offer &Asked,
+                  base::Duration RetryAfter);
+  void admitWaiting();
   Reply retire(const messages::fleet::RetireNode &Asked);
   void reply(const std::string &To, std::uint64_t Id, Reply Answer);
   void onProgress();
@@ -44,10 +48,12 @@
   node::NodeRuntime m_Node;
   HistoryDesk m_Desk;
   std::unique_ptr<link::GroupHost> m_Group;
+  turns::TurnAdmission m_Admission;
   std::set<std::string> m_Retiring;
   bool m_Led = false;
   bool m_Stopping = false;
   boost::asio::steady_timer m_HouseTimer;
+  boost::asio::steady_timer m_AdmitTimer;
 };
 
 } // namespace psp::history
--- a/src/turns/EnginePlacement.cpp
+++ b/src/turns/EnginePlacement.cpp
@@ -1,9 +1,10 @@
 #include "turns/EnginePlacement.h"
 
+#include "base/Hash.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <vector>
 
 namespace psp::turns {
 
@@ -18,39 +19,61 @@
 
 } // namespace
 
-std::string EnginePlacement::place(const std::string &Turn,
-                                   const std::string &Program,
-                                   const std::string &Service,
+std::string EnginePlacement::place(const messages::fleet::BeginTurn &Begin,
                                    const fleet::EndpointDirectory &Endpoints,
                                    base::TimePoint Now) {
-  const auto Again = m_Running.find(Turn);
+  const auto Again = m_Running.find(Begin.turn());
   if (Again != m_Running.end())
     return Again->second.m_Endpoint;
-  const auto Preferred = m_Preferences.find(Program);
+  const auto Preferred = m_Preferences.find(Begin.program());
+  std::vector<const fleet::EndpointState *> Usable;
+  Endpoints.forEachUsable(
+      Begin.service(),
+      [&](const fleet::EndpointState &Each) { Usable.push_back(&Each); });
+  const std::set<std::string> Sharing =
+      enginesOfPrefix(Begin.prompt_prefix(), Usable);
   std::vector<std::string> Best;
   double Lowest = std::numeric_limits<double>::max();
-  Endpoints.forEachUsable(Service, [&](const fleet::EndpointState &Each) {
-    const bool Likes = Preferred != m_Preferences.end() &&
-                       Preferred->second.m_Endpoint == Each.id();
-    const double Cost = cost(Each, Likes, Now);
+  for (const fleet::EndpointState *Each : Usable) {
+    double Cost = cost(*Each, Now);
+    const bool RanHere = Preferred != m_Preferences.end() &&
+                         Preferred->second.m_Endpoint == Each->id();
+    if (Preferred != m_Preferences.end() && !RanHere)
+      Cost += m_Options.m_RereadMs;
+    if (!RanHere && !Sharing.contains(Each->id()))
+      Cost += m_Options.m_PrefixMs;
     if (Cost < Lowest) {
       Best.clear();
       Lowest = Cost;
     }
     if (Cost <= Lowest)
-      Best.push_back(Each.id());
-  });
+      Best.push_back(Each->id());
+  }
   if (Best.empty())
     return {};
   const std::string Chosen = Best[m_Turn++ % Best.size()];
   ++m_Engines[Chosen].m_Running;
-  m_Running[Turn] = {.m_Endpoint = Chosen, .m_Since = Now};
-  m_Preferences[Program] = {.m_Endpoint = Chosen, .m_At = Now};
+  m_Running[Begin.turn()] = {.m_Endpoint = Chosen, .m_Since = Now};
+  m_Preferences[Begin.program()] = {.m_Endpoint = Chosen, .m_At = Now};
+  return Chosen;
+}
+
+/// The engines that keep \p Prefix, the same at every leader.
+std::set<std::string> EnginePlacement::enginesOfPrefix(
+    const std::string &Prefix,
+    const std::vector<const fleet::EndpointState *> &Usable) const {
+  std::map<std::uint64_t, std::string> Ranked;
+  for (const fleet::EndpointState *Each : Usable)
+    Ranked[base::stableHash(Prefix + '/' + Each->id())] = Each->id();
+  std::set<std::string> Chosen;
+  for (const auto &[Rank, Id] : Ranked)
+    if (Chosen.size() < m_Options.m_EnginesPerPrefix)
+      Chosen.insert(Id);
   return Chosen;
 }
 
 double EnginePlacement::cost(const fleet::EndpointState &Candidate,
-                             bool Preferred, base::TimePoint Now) const {
+                             base::TimePoint Now) const {
   const auto Found = m_Engines.find(Candidate.id());
   const Engine Known = Found == m_Engines.end() ? Engine{} : Found->second;
   const double Fade = fadeFactor(Known.m_SeenAt, Now);
@@ -64,8 +87,6 @@
       m_Options.m_TurnMs * Slowness * (1 + QueuedShare * Queued * Slots) +
       m_Options.m_LoadMs * Known.m_Running * Slowness +
       m_Options.m_FailureMs * Known.m_Failures * Fade;
-  if (!Preferred)
-    Total += m_Options.m_RereadMs;
   if (Candidate.silent())
     Total += SilentMs;
   return Total;
--- a/src/turns/EnginePlacement.h
+++ b/src/turns/EnginePlacement.h
@@ -9,8 +9,9 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace psp::turns {
 
@@ -24,6 +25,10 @@
   /// What reading the earlier turns of a program again costs, in milliseconds:
   /// a chain of two thousand tokens.
   double m_RereadMs = 25;
+  /// What reading a shared first part costs, in milliseconds: 512 tokens.
+  double m_PrefixMs = 6;
+  /// Engines among which programs with one first part are spread.
+  std::size_t m_EnginesPerPrefix = 3;
   /// A failed turn weighs this much, in milliseconds, and fades.
   double m_FailureMs = 400;
   /// Observations of slowness and failures fade with this time constant.
@@ -36,7 +41,8 @@
 
 /// Load pattern: engines batch, so each turn slows the others on its engine;
 /// some engines turn slow or fail; a program's earlier turns are cached where
-/// it ran last.
+/// it ran last; under load an engine's cache turns over in seconds, and a first
+/// part that all engines share is read again and again.
 class EnginePlacement {
 public:
   explicit EnginePlacement(EnginePlacementOptions Options = {})
@@ -44,8 +50,7 @@
 
   /// The best engine of \p Service, and counts the turn there. Empty if no
   /// engine is known.
-  std::string place(const std::string &Turn, const std::string &Program,
-                    const std::string &Service,
+  std::string place(const messages::fleet::BeginTurn &Begin,
                     const fleet::EndpointDirectory &Endpoints,
                     base::TimePoint Now);
 
@@ -79,8 +84,10 @@
     base::TimePoint m_At;
   };
 
-  double cost(const fleet::EndpointState &Candidate, bool Preferred,
-              base::TimePoint Now) const;
+  double cost(const fleet::EndpointState &Candidate, base::TimePoint Now) const;
+  std::set<std::string> enginesOfPrefix(
+      const std::string &Prefix,
+      const std::vector<const fleet::EndpointState *> &Usable) const;
   double fadeFactor(base::TimePoint Since, base::TimePoint Now) const;
   double typicalGapUs() const;
 
--- /dev/null
+++ b/src/turns/TurnAdmission.cpp
@@ -0,0 +1,79 @@
+#include "turns/TurnAdmission.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace psp::turns {
+
+namespace {
+
+/// Less is more urgent: the time that the program has left. A program that is
+/// late already comes after all that can still be in time.
+std::uint64_t urgency(const TurnAdmission::Offer &Asked) {
+  const auto &Begin = Asked.m_Request.begin();
+  if (!Begin.has_program_left())
+    return std::numeric_limits<std::uint64_t>::max() / 2;
+  return Begin.program_left_ms() > 0
+             ? Begin.program_left_ms()
+             : std::numeric_limits<std::uint64_t>::max();
+}
+
+} // namespace
+
+TurnAdmission::Decision TurnAdmission::decide(const Offer &Asked,
+                                              const Load &Now) {
+  // Without a known engine the entry instance finds out by itself.
+  if (Now.m_Slots == 0)
+    return Decision::Begin;
+  if (Asked.m_NewProgram)
+    return fits(Now, m_Options.m_NewProgramShare) ? Decision::Begin
+                                                  : Decision::Refuse;
+  if (m_Waiting.empty() && fits(Now, m_Options.m_LaterTurnShare))
+    return Decision::Begin;
+  m_Waiting.push_back(Asked);
+  return Decision::Wait;
+}
+
+std::vector<TurnAdmission::Offer> TurnAdmission::takeReady(Load Now) {
+  std::vector<Offer> Ready;
+  while (!m_Waiting.empty() && fits(Now, m_Options.m_LaterTurnShare)) {
+    const auto Next =
+        std::ranges::min_element(m_Waiting, {}, [](const Offer &Each) {
+          return std::pair(urgency(Each), Each.m_ArrivedAt);
+        });
+    Ready.push_back(std::move(*Next));
+    m_Waiting.erase(Next);
+    ++Now.m_Running;
+  }
+  return Ready;
+}
+
+std::vector<TurnAdmission::Offer>
+TurnAdmission::takeOverdue(base::TimePoint Now) {
+  const auto Overdue =
+      std::ranges::stable_partition(m_Waiting, [&](const Offer &Each) {
+        return Now - Each.m_ArrivedAt < m_Options.m_LongestWait;
+      });
+  std::vector<Offer> Taken(std::make_move_iterator(Overdue.begin()),
+                           std::make_move_iterator(Overdue.end()));
+  m_Waiting.erase(Overdue.begin(), Overdue.end());
+  return Taken;
+}
+
+std::vector<TurnAdmission::Offer> TurnAdmission::takeAll() {
+  return std::exchange(m_Waiting, {});
+}
+
+base::Duration TurnAdmission::retryAfter() {
+  std::uniform_int_distribution<std::int64_t> Extra(
+      0, m_Options.m_RetryAfter.count() / 2);
+  return m_Options.m_RetryAfter + base::Duration(Extra(m_Random));
+}
+
+bool TurnAdmission::fits(const Load &Now, double Share) const {
+  return static_cast<double>(Now.m_Running) <
+         Share * static_cast<double>(Now.m_Slots);
+}
+
+} // namespace psp::turns
--- a/src/turns/TurnLedger.cpp
+++ b/src/turns/TurnLedger.cpp
@@ -107,6 +107,11 @@
   return m_Turns.contains(keyOf(Organisation, Turn));
 }
 
+bool TurnLedger::hasProgram(const std::string &Organisation,
+                            const std::string &Program) const {
+  return m_Programs.contains(keyOf(Organisation, Program));
+}
+
 std::optional<std::string>
 TurnLedger::chainText(const std::string &Organisation,
                       const std::string &Turn) const {
--- a/src/turns/TurnLedger.h
+++ b/src/turns/TurnLedger.h
@@ -55,6 +55,9 @@
   std::optional<std::string> chainText(const std::string &Organisation,
                                        const std::string &Turn) const;
   bool hasTurn(const std::string &Organisation, const std::string &Turn) const;
+  /// Whether a turn of \p Program has begun.
+  bool hasProgram(const std::string &Organisation,
+                  const std::string &Program) const;
 
   std::size_t turnCount() const { return m_Turns.size(); }
   std::size_t programCount() const { return m_Programs.size(); }
