--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -108,6 +108,7 @@
       .m_Node = From,
       .m_Request = Asked,
       .m_NewProgram =
+          Begin.previous().empty() &&
           !m_Desk.ledger().hasProgram(Begin.organisation(), Begin.program()),
       .m_ArrivedAt = readClocks().m_Monotonic};
   switch (m_Admission.decide(Offered, m_Desk.load(Begin.service()))) {
--- /dev/null
+++ b/tests/correctness/GatewayPartsTest.cpp
@@ -0,0 +1,111 @@
+// The parts of an entry instance that decide without I/O.
+
+#include "fleet/RouteTable.h"
+#include "gateway/EventStream.h"
+#include "gateway/RateShares.h"
+#include "gateway/ServicePlacement.h"
+
+#include <gtest/gtest.h>
+
+namespace psp::gateway {
+namespace {
+
+using base::milliseconds;
+using base::seconds;
+
+TEST(EventStreamTest, CountsEventsThatComeInPieces) {
+  EventStream Stream(true);
+  Stream.feed("id: 1\nda");
+  EXPECT_FALSE(Stream.isBetweenEvents());
+  Stream.feed("ta: one\n\nweight-versions: 2\nid: 2\ndata: two\n");
+  EXPECT_EQ(Stream.eventCount(), 1U);
+  EXPECT_FALSE(Stream.isBetweenEvents());
+  Stream.feed("\n");
+  EXPECT_TRUE(Stream.isBetweenEvents());
+  EXPECT_EQ(Stream.eventCount(), 2U);
+  EXPECT_EQ(Stream.text(), "one\ntwo\n");
+}
+
+TEST(RouteTableTest, TheLongestPrefixWins) {
+  fleet::ServingConfiguration Source;
+  for (const char *Prefix : {"/a/", "/a/b/"}) {
+    fleet::Route Each;
+    Each.m_Name = Prefix;
+    Each.m_Host = "h";
+    Each.m_PathPrefix = Prefix;
+    Source.m_Routes.push_back(Each);
+  }
+  Source.m_Organisations = {
+      {.m_Name = "guild", .m_Keys = {"k"}, .m_Priority = {}}};
+  const fleet::RouteTable Table(Source);
+  EXPECT_EQ(Table.find("h", "/a/b/c")->m_Name, "/a/b/");
+  EXPECT_EQ(Table.find("h", "/a/c")->m_Name, "/a/");
+  EXPECT_EQ(Table.find("h", "/b/"), nullptr);
+  EXPECT_EQ(Table.find("other", "/a/"), nullptr);
+  EXPECT_EQ(Table.organisationOf("k")->m_Name, "guild");
+  EXPECT_EQ(Table.organisationOf("x"), nullptr);
+}
+
+TEST(RateSharesTest, FixedSharesOfAllInstancesStayInsideTheRate) {
+  const fleet::OrganisationSpec Sender = {.m_Name = "g",
+                                          .m_Keys = {},
+                                          .m_Priority = {},
+                                          .m_RatePerSecond = 100,
+                                          .m_Burst = 100};
+  constexpr std::uint32_t Instances = 9;
+  std::vector<RateShares> Shares(Instances);
+  std::size_t Passed = 0;
+  base::TimePoint Now{seconds(100)};
+  for (int Step = 0; Step < 5000; ++Step, Now += milliseconds(1))
+    for (RateShares &Each : Shares) {
+      Each.setInstances(Instances);
+      Passed += Each.take(Sender, Now) == RateDecision::Pass ? 1 : 0;
+    }
+  EXPECT_LE(Passed, 100U * 5 + 100U);
+  EXPECT_GE(Passed, 100U * 5 - Instances);
+}
+
+TEST(RateSharesTest, ALowRateIsAskedFor) {
+  fleet::OrganisationSpec Sender = {.m_Name = "g",
+                                    .m_Keys = {},
+                                    .m_Priority = {},
+                                    .m_RatePerSecond = 5,
+                                    .m_Burst = 5};
+  RateShares Shares;
+  Shares.setInstances(9);
+  const base::TimePoint Now{seconds(100)};
+  EXPECT_EQ(Shares.take(Sender, Now), RateDecision::Ask);
+  Shares.grant(Sender, 2, Now);
+  EXPECT_EQ(Shares.take(Sender, Now), RateDecision::Pass);
+  {
+    SCOPED_TRACE("what isn't used soon is dropped");
+    EXPECT_EQ(Shares.take(Sender, Now + seconds(3)), RateDecision::Ask);
+  }
+}
+
+TEST(ServicePlacementTest, AvoidsWhatHasJustFailed) {
+  fleet::EndpointDirectory Directory;
+  const base::TimePoint Now{seconds(10)};
+  for (const char *Id : {"a", "b"}) {
+    fleet::EndpointState State;
+    State.set_id(Id);
+    State.set_service("desk");
+    State.set_address(std::string("10.0.0.1:") + (Id[0] == 'a' ? "1" : "2"));
+    State.set_slots(6);
+    State.set_born(1);
+    Directory.merge(State, false, Now);
+  }
+  ServicePlacement Placement({.m_DataCentre = "x"});
+  Placement.onFailed("a", Now);
+  for (int Each = 0; Each < 10; ++Each)
+    EXPECT_EQ(Placement.place("desk", "", {}, Directory, Now)->id(), "b");
+  EXPECT_EQ(Placement.place("desk", "", {"b"}, Directory, Now)->id(), "a");
+  EXPECT_EQ(Placement.place("desk", "", {"a", "b"}, Directory, Now), nullptr);
+  {
+    SCOPED_TRACE("and tries it again later");
+    EXPECT_FALSE(Placement.isAvoided("a", Now + seconds(1)));
+  }
+}
+
+} // namespace
+} // namespace psp::gateway
--- /dev/null
+++ b/tests/correctness/PlatformDialectTest.cpp
@@ -0,0 +1,146 @@
+// What the platform says, decoded into the product's own types.
+
+#include "base/Error.h"
+#include "platform/CallDialect.h"
+#include "platform/ConfigurationFormat.h"
+#include "platform/ControlDialect.h"
+
+#include <gtest/gtest.h>
+
+namespace psp::platform {
+namespace {
+
+namespace http = boost::beast::http;
+using base::ErrorKind;
+
+constexpr const char *Document = R"({"version":7,"routes":[
+ {"name":"r1","host":"h.example","path_prefix":"/p/","kind":"streaming",
+  "timeout_ms":3000,"service":"m","retains_context":true,"retention_s":60.0},
+ {"name":"r2","host":"h.example","path_prefix":"/q/","kind":"safe",
+  "timeout_ms":1200.0,"split":[{"service":"m","weight":90},
+  {"service":"d","weight":10}],"attempts":3}],
+ "services":[{"name":"m","engine":{"slots":12,"tokens_per_event":12}},
+ {"name":"d"}],
+ "tenants":[{"name":"t","api_keys":["k1","k2"],"rate_per_s":5,"burst":6}]})";
+
+ErrorKind faultOf(const std::string &Text) {
+  try {
+    fleet::checkConfiguration(ConfigurationFormat().decode(Text));
+  } catch (const base::UserError &Fault) {
+    return Fault.kind();
+  }
+  return ErrorKind::Internal;
+}
+
+std::string replaced(std::string Text, const std::string &From,
+                     const std::string &To) {
+  Text.replace(Text.find(From), From.size(), To);
+  return Text;
+}
+
+TEST(ConfigurationFormatTest, ReadsRoutesServicesAndOrganisations) {
+  const auto Read = ConfigurationFormat().decode(Document);
+  EXPECT_EQ(Read.m_Version, 7U);
+  EXPECT_EQ(Read.m_Routes[0].m_Kind, fleet::CallKind::Stream);
+  EXPECT_TRUE(Read.m_Routes[0].m_KeepsTurns);
+  EXPECT_EQ(Read.m_Routes[0].m_Retention, base::seconds(60));
+  EXPECT_EQ(Read.m_Routes[1].m_Targets[1].m_Weight, 10U);
+  EXPECT_TRUE(Read.m_Services.at("m").m_IsEngine);
+  EXPECT_EQ(Read.m_Organisations[0].m_Keys.size(), 2U);
+}
+
+TEST(ConfigurationFormatTest, RefusesWhatIsInvalid) {
+  const std::string Good = Document;
+  EXPECT_EQ(faultOf(Good.substr(0, Good.size() / 2)),
+            ErrorKind::InvalidConfiguration);
+  EXPECT_EQ(faultOf(replaced(Good, "\"service\":\"m\",\"ret",
+                             "\"service\":\"none\",\"ret")),
+            ErrorKind::InvalidConfiguration);
+  EXPECT_EQ(faultOf(replaced(Good, "/q/", "/p/")),
+            ErrorKind::InvalidConfiguration);
+  EXPECT_EQ(faultOf(replaced(Good, "3000", "0")),
+            ErrorKind::InvalidConfiguration);
+  EXPECT_EQ(faultOf(replaced(replaced(Good, ":90", ":0"), ":10}", ":0}")),
+            ErrorKind::InvalidConfiguration);
+  EXPECT_EQ(faultOf(replaced(Good, "\"burst\":6}",
+                             "\"burst\":6},{\"name\":\"u\","
+                             "\"api_keys\":[\"k2\"]}")),
+            ErrorKind::InvalidConfiguration);
+}
+
+TEST(CallDialectTest, KeepsTheKeyAndOwnHeadersFromEndpoints) {
+  web::Request Received(http::verb::post, "/p/x", 11);
+  Received.set("Host", "h.example");
+  Received.set("Request-Id", "id1");
+  Received.set("X-Api-Key", "secret");
+  Received.set("Tenant", "forged");
+  Received.set("Hold", "forged");
+  Received.set("Kv-From", "forged");
+  Received.set("Pin-Duration", "9999");
+  Received.set("Deadline-Remaining", "3000");
+  Received.set("Token-Counts", "1460,80");
+  Received.set("Token-Budget", "2304");
+  Received.set("Weird", "kept");
+  Received.body() = "input";
+  const CallDialect Dialect;
+  const auto Facts = Dialect.readCall(Received);
+  EXPECT_EQ(Facts.m_Id, "id1");
+  EXPECT_EQ(Facts.m_Key, "secret");
+  EXPECT_EQ(Facts.m_MostTokens, 80U);
+  EXPECT_EQ(Facts.m_TokenBudget, 2304U);
+  EXPECT_EQ(Facts.m_TimeLeft, base::milliseconds(3000));
+  const auto Out = Dialect.makeRequest(Received,
+                                       {.m_EndpointId = "i-1",
+                                        .m_EndpointAddress = "10.0.0.1:80",
+                                        .m_Organisation = "guild",
+                                        .m_TimeLeft = base::milliseconds(1200)},
+                                       "chain input");
+  EXPECT_EQ(Out["Tenant"], "guild");
+  EXPECT_EQ(Out["Expected-Instance"], "i-1");
+  EXPECT_EQ(Out["Deadline-Remaining"], "1200");
+  EXPECT_EQ(Out["Weird"], "kept");
+  for (const char *Name : {"X-Api-Key", "Hold", "Kv-From", "Pin-Duration"})
+    EXPECT_EQ(Out.count(Name), 0U) << Name;
+  EXPECT_EQ(Out.body(), "chain input");
+}
+
+TEST(CallDialectTest, OnlyCallsThatHaveNotRunGetAPromise) {
+  EXPECT_EQ(statusOf(ErrorKind::EndpointFailed), 502U);
+  EXPECT_EQ(statusOf(ErrorKind::DeadlineExceeded), 504U);
+  EXPECT_EQ(statusOf(ErrorKind::Overloaded), 503U);
+  EXPECT_EQ(statusOf(ErrorKind::RateLimited), 429U);
+  const CallDialect Dialect;
+  gateway::CallFacts Call;
+  Call.m_Id = "id1";
+  const auto Answer =
+      Dialect.makeRefusal(Call, gateway::Refusal(ErrorKind::Overloaded, "full",
+                                                 base::milliseconds(250)));
+  EXPECT_EQ(Answer["Retry-After"], "0.250");
+  EXPECT_EQ(Answer["Request-Id"], "id1");
+}
+
+web::Request announcement(const std::string &Body) {
+  web::Request Received(http::verb::post,
+                        "/pistachiospool/instances/i-7/heartbeat", 11);
+  Received.body() = Body;
+  return Received;
+}
+
+TEST(ControlDialectTest, AnnouncementsOfAnotherKindNameNoEndpoint) {
+  const ControlDialect Dialect;
+  const std::string Good =
+      R"({"service":"m","address":"10.0.0.9:80","zone":"z","slots":12,)"
+      R"("state":"ready","seq":4,"born":17})";
+  const auto Call = Dialect.decode(announcement(Good));
+  const auto &State = std::get<coordinator::AnnounceCall>(Call).m_State;
+  EXPECT_EQ(State.id(), "i-7");
+  EXPECT_EQ(State.born(), 17U);
+  for (const auto &Bad :
+       {std::string("{"), replaced(Good, "\"seq\":4", "\"seq\":\"4\""),
+        replaced(Good, "ready", "asleep"), replaced(Good, "\"slots\":12,", ""),
+        replaced(Good, ":17", ":1.5")})
+    EXPECT_THROW(Dialect.decode(announcement(Bad)), base::UserError) << Bad;
+}
+
+} // namespace
+} // namespace psp::platform
--- /dev/null
+++ b/tests/correctness/TurnLedgerTest.cpp
@@ -0,0 +1,123 @@
+// Budgets hold over parallel turns, late copies and restarts; turns are kept
+// with their chains until their retention ends.
+
+#include "turns/TurnLedger.h"
+
+#include <gtest/gtest.h>
+
+namespace psp::turns {
+namespace {
+
+using messages::fleet::HistoryCommand;
+
+class TurnLedgerTest : public testing::Test {
+protected:
+  BeginOutcome begin(const std::string &Turn, std::uint64_t Most,
+                     const std::string &Previous = "") {
+    HistoryCommand Command;
+    auto &Begin = *Command.mutable_begin();
+    Begin.set_turn(Turn);
+    Begin.set_organisation("guild");
+    Begin.set_program("p");
+    Begin.set_budget(100);
+    Begin.set_most(Most);
+    Begin.set_previous(Previous);
+    Begin.set_retention_ms(60'000);
+    m_Ledger.apply(++m_Index, Command.SerializeAsString(), m_WallMs);
+    return m_Ledger.lastBegin();
+  }
+
+  void end(const std::string &Turn, std::uint64_t Tokens,
+           const std::string &Text = "", const std::string &Previous = "") {
+    HistoryCommand Command;
+    auto &End = *Command.mutable_end();
+    End.set_turn(Turn);
+    End.set_organisation("guild");
+    End.set_program("p");
+    End.set_tokens(Tokens);
+    End.set_keep(!Text.empty());
+    End.set_text(Text);
+    End.set_previous(Previous);
+    End.set_retention_ms(60'000);
+    m_Ledger.apply(++m_Index, Command.SerializeAsString(), m_WallMs);
+  }
+
+  TurnLedger m_Ledger;
+  std::uint64_t m_Index = 0;
+  std::uint64_t m_WallMs = 1'000'000;
+};
+
+TEST_F(TurnLedgerTest, ReservesTheMostOfParallelTurns) {
+  EXPECT_EQ(begin("a", 40), BeginOutcome::Granted);
+  EXPECT_EQ(begin("b", 40), BeginOutcome::Granted);
+  EXPECT_EQ(begin("c", 40), BeginOutcome::BudgetSpent);
+  {
+    SCOPED_TRACE("a turn that spent less makes room");
+    end("a", 12);
+    EXPECT_EQ(begin("c", 40), BeginOutcome::Granted);
+    EXPECT_EQ(m_Ledger.committedTokens("guild", "p"), 92U);
+  }
+  {
+    SCOPED_TRACE("a copy of a request reserves nothing more");
+    EXPECT_EQ(begin("c", 40), BeginOutcome::Granted);
+    EXPECT_EQ(m_Ledger.committedTokens("guild", "p"), 92U);
+  }
+  {
+    SCOPED_TRACE("a late copy of an ended turn neither");
+    EXPECT_EQ(begin("a", 40), BeginOutcome::AlreadyEnded);
+    EXPECT_EQ(m_Ledger.committedTokens("guild", "p"), 92U);
+  }
+  {
+    SCOPED_TRACE("an end that comes twice is charged once");
+    end("a", 12);
+    EXPECT_EQ(m_Ledger.committedTokens("guild", "p"), 92U);
+  }
+}
+
+TEST_F(TurnLedgerTest, AnEndThatComesBeforeItsBeginKeepsTheTurnFromRunning) {
+  end("a", 0);
+  EXPECT_EQ(begin("a", 40), BeginOutcome::AlreadyEnded);
+  EXPECT_EQ(m_Ledger.committedTokens("guild", "p"), 0U);
+}
+
+TEST_F(TurnLedgerTest, KeepsATurnWithItsChain) {
+  begin("a", 10);
+  end("a", 10, "one ");
+  {
+    SCOPED_TRACE("two turns may continue from one");
+    EXPECT_EQ(begin("b", 10, "a"), BeginOutcome::Granted);
+    end("b", 10, "two ", "a");
+    EXPECT_EQ(begin("c", 10, "a"), BeginOutcome::Granted);
+    end("c", 10, "three ", "a");
+    EXPECT_EQ(m_Ledger.chainText("guild", "b"), "one two ");
+    EXPECT_EQ(m_Ledger.chainText("guild", "c"), "one three ");
+  }
+  {
+    SCOPED_TRACE("another organisation doesn't see it");
+    EXPECT_FALSE(m_Ledger.hasTurn("other", "a"));
+  }
+  {
+    SCOPED_TRACE("a child prolongs its parents");
+    m_WallMs += 50'000;
+    EXPECT_EQ(begin("d", 10, "b"), BeginOutcome::Granted);
+    end("d", 10, "four ", "b");
+    m_WallMs += 40'000;
+    EXPECT_EQ(begin("e", 10, "d"), BeginOutcome::Granted);
+    EXPECT_EQ(m_Ledger.chainText("guild", "d"), "one two four ");
+    EXPECT_EQ(begin("f", 10, "c"), BeginOutcome::NoSuchTurn);
+  }
+}
+
+TEST_F(TurnLedgerTest, ASnapshotHoldsEverything) {
+  begin("a", 40);
+  begin("b", 40);
+  end("a", 24, "one ");
+  TurnLedger Restored;
+  Restored.restore(m_Ledger.snapshot());
+  EXPECT_EQ(Restored.snapshot(), m_Ledger.snapshot());
+  EXPECT_EQ(Restored.committedTokens("guild", "p"), 64U);
+  EXPECT_EQ(Restored.chainText("guild", "a"), "one ");
+}
+
+} // namespace
+} // namespace psp::turns
