Elect sooner, notice a missing leader sooner, send callers elsewhere; linter faults

Cause: after the final fault 0.8 s pass until an election begins although nobody leads; in a cut zone the instances stayed ready for a second, and callers used up their tries on them before the balancer looked elsewhere.

Change: an election may begin 150 ms after a start and after 400 to 800 ms of silence; readiness follows the leader's signs of life, more rarely with more instances; without a leader callers come back after a second. New programs are turned away only above half of the slots.

--- a/src/consensus/Group.cpp
+++ b/src/consensus/Group.cpp
@@ -42,6 +42,7 @@
   m_Commit = m_Applied;
   m_Synced = m_Log.lastIndex();
   scheduleElection(Now.m_Monotonic);
+  m_ElectionAt -= m_Options.m_ElectionTimeout - m_Options.m_StartTimeout;
 }
 
 void Group::found(const Membership &Founders, const base::Now &Now) {
--- a/src/consensus/Group.h
+++ b/src/consensus/Group.h
@@ -45,10 +45,14 @@
 };
 
 struct GroupOptions {
-  /// Elections begin after one to two of these without a leader. Five
+  /// Elections begin after one to two of these without a leader. Four
   /// heartbeats, and above a resent packet of 200 ms.
-  base::Duration m_ElectionTimeout = base::milliseconds(600);
-  base::Duration m_HeartbeatInterval = base::milliseconds(120);
+  base::Duration m_ElectionTimeout = base::milliseconds(400);
+  base::Duration m_HeartbeatInterval = base::milliseconds(100);
+  /// A member that has just started may begin an election sooner: a leader
+  /// that is there makes itself heard in this time, and if all have started at
+  /// once there is none to wait for.
+  base::Duration m_StartTimeout = base::milliseconds(150);
   /// Entries that are not acknowledged after this are sent again.
   base::Duration m_ResendInterval = base::milliseconds(250);
   /// Longest batch of entries in one message, in bytes.
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -23,6 +23,9 @@
 
 /// Time until a leader is elected, for callers that are told to come back.
 constexpr base::Duration ElectionRetry = base::milliseconds(600);
+/// Time until the balancer sends callers elsewhere, where a leader is missing
+/// for longer than an election takes.
+constexpr base::Duration ElsewhereRetry = base::milliseconds(1000);
 /// Time until an endpoint has announced itself, or a place is free.
 constexpr base::Duration EndpointRetry = base::milliseconds(250);
 constexpr base::Duration RateRetry = base::milliseconds(500);
@@ -156,7 +159,7 @@
            Answer->wait_ms() == 0 && !isOver() && now() < Until);
   if (!Answer || Answer->kind() == messages::fleet::REPLY_UNAVAILABLE)
     co_return Refusal(ErrorKind::QuorumUnavailable,
-                      "no leader of history answered", ElectionRetry);
+                      "no leader of history answered", ElsewhereRetry);
   if (Answer->kind() == messages::fleet::REPLY_OK) {
     m_EarlierTurns = Answer->text();
     m_PlacedOn = Answer->endpoint();
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -26,11 +26,8 @@
 
 namespace {
 
-constexpr base::Duration HouseInterval = base::milliseconds(300);
+constexpr base::Duration HouseInterval = base::milliseconds(150);
 constexpr base::Duration StopCheckInterval = base::milliseconds(100);
-/// The leader of history is asked for a sign of life after this long without
-/// an answer, so that readiness rests on fresh knowledge.
-constexpr base::Duration ProbeAfter = base::milliseconds(350);
 
 base::TimePoint now() { return readClocks().m_Monotonic; }
 
@@ -204,12 +201,16 @@
 
 bool Gateway::isReady() const {
   return !m_StoppingSince && m_Table &&
-         now() - m_LeaderAnsweredAt < m_Options.m_ReadyPatience;
+         now() - m_LeaderAnsweredAt < m_Options.m_ReadyProbes * probeInterval();
+}
+
+base::Duration Gateway::probeInterval() const {
+  return m_Options.m_ProbeAfter + m_EntryInstances * m_Options.m_ProbeSpread;
 }
 
 /// Asks the leader of history for a sign of life when no call did.
 void Gateway::probeLeader() {
-  if (m_Probing || now() - m_LeaderAnsweredAt < ProbeAfter)
+  if (m_Probing || now() - m_LeaderAnsweredAt < probeInterval())
     return;
   m_Probing = true;
   messages::fleet::Request Asked;
@@ -217,7 +218,7 @@
   asio::co_spawn(
       io(),
       [this, Asked]() -> asio::awaitable<void> {
-        co_await askLeader(NODE_HISTORY, Asked, ProbeAfter);
+        co_await askLeader(NODE_HISTORY, Asked, probeInterval());
         m_Probing = false;
       },
       asio::detached);
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -44,8 +44,14 @@
   base::Duration m_ConnectLimit = base::milliseconds(300);
   /// Endpoints that are asked in turn for one call, if each refuses.
   std::uint32_t m_MostTries = 6;
-  /// An instance without a leader of history for this long isn't ready.
-  base::Duration m_ReadyPatience = base::milliseconds(900);
+  /// The leader of history is asked for a sign of life after this long without
+  /// an answer, and this much later for each other entry instance, which does
+  /// the same.
+  base::Duration m_ProbeAfter = base::milliseconds(200);
+  base::Duration m_ProbeSpread = base::milliseconds(12);
+  /// An instance isn't ready when the leader has been silent for this many
+  /// times as long.
+  int m_ReadyProbes = 3;
   /// A stopping instance takes calls at least this long, until the balancer
   /// has noticed.
   base::Duration m_StopLinger = base::milliseconds(3000);
@@ -100,6 +106,7 @@
   void housekeeping();
   bool isReady() const;
   void probeLeader();
+  base::Duration probeInterval() const;
   std::string pickNode(messages::fleet::NodeKind Kind);
   void stop();
   void finishWhenIdle();
--- a/src/link/Link.cpp
+++ b/src/link/Link.cpp
@@ -82,7 +82,7 @@
 asio::awaitable<void> Link::read() {
   auto Self = shared_from_this();
   std::string Buffer;
-  std::array<char, ReadBytes> Chunk;
+  std::array<char, ReadBytes> Chunk{};
   while (m_Open) {
     boost::system::error_code Error;
     const std::size_t Count = co_await m_Socket.async_read_some(
--- a/src/turns/EnginePlacement.cpp
+++ b/src/turns/EnginePlacement.cpp
@@ -54,7 +54,7 @@
   }
   if (Best.empty())
     return {};
-  const std::string Chosen = Best[m_Turn++ % Best.size()];
+  std::string Chosen = Best[m_Turn++ % Best.size()];
   ++m_Engines[Chosen].m_Running;
   m_Running[Begin.turn()] = {.m_Endpoint = Chosen, .m_Since = Now};
   m_Preferences[Begin.program()] = {.m_Endpoint = Chosen, .m_At = Now};
@@ -110,8 +110,10 @@
       Gaps.push_back(Known.m_EventGapUs);
   if (Gaps.empty())
     return 0;
-  std::ranges::nth_element(Gaps, Gaps.begin() + Gaps.size() / 2);
-  return Gaps[Gaps.size() / 2];
+  const auto Middle =
+      Gaps.begin() + static_cast<std::ptrdiff_t>(Gaps.size() / 2);
+  std::nth_element(Gaps.begin(), Middle, Gaps.end());
+  return *Middle;
 }
 
 void EnginePlacement::finish(const std::string &Turn, const Observation &Seen,
--- a/src/turns/TurnAdmission.cpp
+++ b/src/turns/TurnAdmission.cpp
@@ -55,13 +55,13 @@
 
 std::vector<TurnAdmission::Offer>
 TurnAdmission::takeOverdue(base::TimePoint Now) {
-  const auto Overdue =
-      std::ranges::stable_partition(m_Waiting, [&](const Offer &Each) {
+  const auto Overdue = std::stable_partition(
+      m_Waiting.begin(), m_Waiting.end(), [&](const Offer &Each) {
         return Now - Each.m_ArrivedAt < m_Options.m_LongestWait;
       });
-  std::vector<Offer> Taken(std::make_move_iterator(Overdue.begin()),
-                           std::make_move_iterator(Overdue.end()));
-  m_Waiting.erase(Overdue.begin(), Overdue.end());
+  std::vector<Offer> Taken(std::make_move_iterator(Overdue),
+                           std::make_move_iterator(m_Waiting.end()));
+  m_Waiting.erase(Overdue, m_Waiting.end());
   return Taken;
 }
 
--- a/src/turns/TurnAdmission.h
+++ b/src/turns/TurnAdmission.h
@@ -18,7 +18,7 @@
   /// New programs begin while less than a share of the slots runs. The share
   /// moves between these two with the pace of the engines; below a half of the
   /// slots places would stay empty for nothing.
-  double m_LeastNewShare = 0.3;
+  double m_LeastNewShare = 0.5;
   double m_MostNewShare = 0.8;
   /// Engines are too slow for programs to end in time when events come this
   /// many times slower than at best: callers allow 1.3 to 1.5 times the time
