Tokens of a low rate go to programs that have begun; a stop ends idle connections

(2) With a rate cut far below what an organisation sends, refusals were spread over all calls, and a program fails with one that is refused for good.

New programs leave the last part of a bucket to programs that have begun (TokenDesk, RateShares).

--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -49,7 +49,8 @@
     : m_Options(Options), m_Protocol(Protocol), m_Codec(Codec),
       m_Node({.m_Program = "psp-coordinator",
               .m_Kind = NODE_CONTROL,
-              .m_MetricsPort = Options.m_MetricsPort},
+              .m_MetricsPort = Options.m_MetricsPort,
+              .m_PeerBindHost = Options.m_PeerBindHost},
              Source),
       m_Forwarded(m_Node.io()), m_BeatTimer(m_Node.io()),
       m_HouseTimer(m_Node.io()) {
@@ -156,6 +157,7 @@
     for (const auto &Each : m_Current.m_Organisations)
       if (Each.m_Name == Asked.tokens().organisation())
         Answer.set_count(m_Tokens.take(Each, Asked.tokens().count(),
+                                       Asked.tokens().new_program(),
                                        readClocks().m_Monotonic));
     if (Answer.count() > 0)
       Answer.set_kind(messages::fleet::REPLY_OK);
--- a/src/coordinator/Coordinator.h
+++ b/src/coordinator/Coordinator.h
@@ -26,6 +26,7 @@
 
 struct CoordinatorOptions {
   std::uint16_t m_MetricsPort = 0;
+  std::string m_PeerBindHost; ///< See node::NodeRuntimeOptions.
   /// A forwarded call fails after this long; callers wait a second.
   base::Duration m_ForwardTimeout = base::milliseconds(800);
   /// Founders of the history group are chosen this long after enough history
--- a/src/coordinator/TokenDesk.cpp
+++ b/src/coordinator/TokenDesk.cpp
@@ -5,8 +5,18 @@
 
 namespace psp::coordinator {
 
+namespace {
+
+/// Tokens kept for programs that have begun: the calls of one, but no more
+/// than this share of the bucket.
+constexpr double CallsOfAProgram = 12;
+constexpr double KeptShare = 0.6;
+
+} // namespace
+
 std::uint32_t TokenDesk::take(const fleet::OrganisationSpec &Asking,
-                              std::uint32_t Wanted, base::TimePoint Now) {
+                              std::uint32_t Wanted, bool NewProgram,
+                              base::TimePoint Now) {
   const auto [Found, Fresh] = m_Buckets.try_emplace(Asking.m_Name);
   Bucket &Filled = Found->second;
   if (Fresh)
@@ -17,8 +27,11 @@
   Filled.m_Tokens =
       std::min(std::max(Asking.m_Burst, 1.0),
                Filled.m_Tokens + Seconds * Asking.m_RatePerSecond);
-  const auto Given = static_cast<std::uint32_t>(
-      std::min<double>(Wanted, std::floor(Filled.m_Tokens)));
+  const double Kept =
+      NewProgram ? std::min(CallsOfAProgram, KeptShare * Asking.m_Burst) : 0;
+  const double Free = std::max(0.0, Filled.m_Tokens - Kept);
+  const auto Given =
+      static_cast<std::uint32_t>(std::min<double>(Wanted, std::floor(Free)));
   Filled.m_Tokens -= Given;
   return Given;
 }
--- a/src/coordinator/TokenDesk.h
+++ b/src/coordinator/TokenDesk.h
@@ -17,13 +17,19 @@
 /// its callers are spread unevenly over the entry instances, so that fixed
 /// shares would refuse calls inside its rate.
 ///
+/// A program needs a dozen calls, and fails with the first that is refused for
+/// good. So the last part of a bucket is kept for programs that have begun:
+/// spread over all calls, refusals would end nearly every program.
+///
 /// A new leader starts with empty buckets: what its predecessor handed out is
 /// unknown to it, and the first fill takes as long as the burst lasts.
 class TokenDesk {
 public:
-  /// How many of \p Wanted tokens \p Asking may have now.
+  /// How many of \p Wanted tokens \p Asking may have now, \p NewProgram: for
+  /// calls that begin a program.
   std::uint32_t take(const fleet::OrganisationSpec &Asking,
-                     std::uint32_t Wanted, base::TimePoint Now);
+                     std::uint32_t Wanted, bool NewProgram,
+                     base::TimePoint Now);
   /// This node has just become the leader.
   void reset(base::TimePoint Now);
 
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -58,6 +58,12 @@
 }
 
 asio::awaitable<void> Call::handle() {
+  if (m_Owner.isClosing()) {
+    m_KeepAlive = false;
+    co_await refuse(Refusal(ErrorKind::Stopping, "this instance is stopping",
+                            EndpointRetry));
+    co_return;
+  }
   if (auto Reason = checkRoute()) {
     co_await refuse(std::move(*Reason));
     co_return;
@@ -77,6 +83,8 @@
                             "the organisation's rate is used up", RateRetry));
     co_return;
   }
+  if (!m_Facts.m_Program.empty())
+    m_Owner.programs().note(m_Facts.m_Program, now());
   m_IsTurn = m_Route->m_Kind == fleet::CallKind::Stream &&
              m_Facts.m_TokenBudget.has_value();
   if (m_IsTurn) {
@@ -108,19 +116,26 @@
 
 asio::awaitable<bool> Call::passesRate() {
   RateShares &Rates = m_Owner.rates();
-  if (Rates.take(*m_Organisation, now()) == RateDecision::Pass)
+  const bool NewProgram = m_Facts.m_TokenBudget &&
+                          m_Facts.m_PreviousTurn.empty() &&
+                          !m_Owner.programs().isKnown(m_Facts.m_Program);
+  if (Rates.take(*m_Organisation, NewProgram, now()) == RateDecision::Pass)
     co_return true;
   if (Rates.hasFixedShare(*m_Organisation))
     co_return false;
   messages::fleet::Request Asked;
   Asked.mutable_tokens()->set_organisation(m_Organisation->m_Name);
-  Asked.mutable_tokens()->set_count(Rates.tokensToAsk(*m_Organisation));
+  Asked.mutable_tokens()->set_new_program(NewProgram);
+  Asked.mutable_tokens()->set_count(
+      NewProgram ? 1 : Rates.tokensToAsk(*m_Organisation));
   const auto Answer = co_await m_Owner.askLeader(
       messages::fleet::NODE_CONTROL, Asked, std::min(RateWait, timeLeft()));
   if (!Answer || Answer->count() == 0)
     co_return false;
-  Rates.grant(*m_Organisation, Answer->count(), now());
-  co_return Rates.take(*m_Organisation, now()) == RateDecision::Pass;
+  // The one for this call is used up at once.
+  if (Answer->count() > 1)
+    Rates.grant(*m_Organisation, Answer->count() - 1, now());
+  co_return true;
 }
 
 /// Reserves the turn's tokens and fetches the turns before it.
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -91,7 +91,7 @@
     AnyFound = true;
     // Copied: the directory may change while the call waits.
     const fleet::EndpointState Endpoint = *Chosen;
-    const std::string Id = Endpoint.id();
+    const std::string &Id = Endpoint.id();
     Placement.onSent(Id);
     const TimePoint Start = now();
     const SendOutcome Outcome = co_await sendTo(Endpoint);
@@ -142,7 +142,7 @@
 
 asio::awaitable<SendOutcome>
 Call::sendTo(const fleet::EndpointState &Endpoint) {
-  const std::string Id = Endpoint.id();
+  const std::string &Id = Endpoint.id();
   ServicePlacement &Placement = m_Owner.placement();
   std::unique_ptr<EndpointChannel> Channel =
       m_Owner.pool().take(Endpoint.address());
--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -78,10 +78,17 @@
 asio::awaitable<bool> CallerSession::waitForBytes() {
   if (m_Buffer.size() > 0)
     co_return true;
+  if (m_Owner.isClosing())
+    co_return false;
   limit(limits().m_IdleTimeout);
+  const std::uint64_t Idle = m_Owner.addIdle([this] {
+    boost::system::error_code Ignored; // The wait reports its own.
+    m_Socket.close(Ignored);
+  });
   boost::system::error_code Error;
   co_await m_Socket.async_wait(
       tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, Error));
+  m_Owner.removeIdle(Idle);
   co_return !Error;
 }
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -27,6 +27,8 @@
 namespace {
 
 constexpr base::Duration HouseInterval = base::milliseconds(150);
+/// Longer than any pause of a program between two calls.
+constexpr base::Duration ProgramMemory = base::seconds(30);
 constexpr base::Duration StopCheckInterval = base::milliseconds(100);
 
 base::TimePoint now() { return readClocks().m_Monotonic; }
@@ -44,7 +46,8 @@
       m_Node({.m_Program = "psp-gateway",
               .m_Kind = NODE_ENTRY,
               .m_MetricsPort = Options.m_MetricsPort,
-              .m_Listens = false},
+              .m_Listens = false,
+              .m_PeerBindHost = {}},
              Source),
       m_Placement({.m_DataCentre = m_Node.settings().m_DataCentre,
                    .m_Seed = seedOf(m_Node.settings().m_Name)}),
@@ -83,11 +86,11 @@
 }
 
 asio::awaitable<void> Gateway::accept() {
-  while (true) {
+  while (m_Acceptor.is_open()) {
     boost::system::error_code Error;
     tcp::socket Socket = co_await m_Acceptor.async_accept(
         asio::redirect_error(asio::use_awaitable, Error));
-    if (!Error)
+    if (!Error && !m_Closing)
       startSession(*this, std::move(Socket));
   }
 }
@@ -226,6 +229,7 @@
 
 void Gateway::housekeeping() {
   m_Pool.expire();
+  m_Programs.forget(ProgramMemory, now());
   probeLeader();
   const bool Ready = isReady();
   if (std::exchange(m_ReportedReady, Ready) != Ready)
@@ -248,8 +252,26 @@
   finishWhenIdle();
 }
 
+std::uint64_t Gateway::addIdle(std::function<void()> End) {
+  m_Idle[++m_LastIdle] = std::move(End);
+  return m_LastIdle;
+}
+
+/// Ends connections that wait for a request: callers that still use them would
+/// otherwise have one taken that can't be finished.
+void Gateway::closeIdle() {
+  m_Closing = true;
+  boost::system::error_code Ignored; // Nothing listens after it either way.
+  m_Acceptor.close(Ignored);
+  m_Node.log().write("idle_connections_closed", {{"count", m_Idle.size()}});
+  for (const auto &[Id, End] : std::exchange(m_Idle, {}))
+    End();
+}
+
 void Gateway::finishWhenIdle() {
   const base::Duration Since = now() - *m_StoppingSince;
+  if (!m_Closing && Since >= m_Options.m_StopLinger)
+    closeIdle();
   const bool Idle = m_Calls == 0 && Since >= m_Options.m_StopLinger;
   if (Idle || Since >= m_Node.settings().m_StopGrace - m_Options.m_StopMargin) {
     m_Node.finish();
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -8,6 +8,7 @@
 #include "fleet/RouteTable.h"
 #include "gateway/CallProtocol.h"
 #include "gateway/EndpointChannel.h"
+#include "gateway/KnownPrograms.h"
 #include "gateway/RateShares.h"
 #include "gateway/ServicePlacement.h"
 #include "link/RequestTable.h"
@@ -18,6 +19,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -88,9 +91,17 @@
   ServicePlacement &placement() { return m_Placement; }
   EndpointPool &pool() { return m_Pool; }
   RateShares &rates() { return m_Rates; }
+  KnownPrograms &programs() { return m_Programs; }
   bool isStopping() const { return m_StoppingSince.has_value(); }
   double draw();
 
+  /// Past the linger of a planned stop: nothing more is taken.
+  bool isClosing() const { return m_Closing; }
+  /// Registers how to end a connection that waits for a request; the result
+  /// takes it back.
+  std::uint64_t addIdle(std::function<void()> End);
+  void removeIdle(std::uint64_t Id) { m_Idle.erase(Id); }
+
   /// Calls under way, for a planned stop.
   void onCallBegun() { ++m_Calls; }
   void onCallEnded() { --m_Calls; }
@@ -110,6 +121,7 @@
   std::string pickNode(messages::fleet::NodeKind Kind);
   void stop();
   void finishWhenIdle();
+  void closeIdle();
 
   GatewayOptions m_Options;
   const CallProtocol &m_Protocol;
@@ -120,6 +132,7 @@
   ServicePlacement m_Placement;
   EndpointPool m_Pool;
   RateShares m_Rates;
+  KnownPrograms m_Programs;
   link::RequestTable m_Requests;
   std::map<messages::fleet::NodeKind, std::string> m_Leaders;
   std::size_t m_NextNode = 0;
@@ -131,6 +144,9 @@
   boost::asio::steady_timer m_StopTimer;
   std::optional<base::TimePoint> m_StoppingSince;
   std::uint32_t m_Calls = 0;
+  bool m_Closing = false;
+  std::uint64_t m_LastIdle = 0;
+  std::map<std::uint64_t, std::function<void()>> m_Idle;
   bool m_ReportedReady = false;
   bool m_Probing = false;
   std::mt19937_64 m_Random;
--- a/src/gateway/RateShares.cpp
+++ b/src/gateway/RateShares.cpp
@@ -11,7 +11,7 @@
 }
 
 RateDecision RateShares::take(const fleet::OrganisationSpec &Sender,
-                              base::TimePoint Now) {
+                              bool NewProgram, base::TimePoint Now) {
   if (Sender.m_RatePerSecond <= 0)
     return RateDecision::Pass;
   const auto [Found, Fresh] = m_Buckets.try_emplace(Sender.m_Name);
@@ -35,7 +35,12 @@
     Held.m_Tokens = 0;
   }
   Held.m_Rate = Sender.m_RatePerSecond;
-  if (Held.m_Tokens < 1)
+  const bool Fixed = hasFixedShare(Sender);
+  if (NewProgram && !Fixed)
+    return RateDecision::Ask;
+  const double Kept =
+      NewProgram ? m_Options.m_KeptShare * Sender.m_Burst * Share : 0;
+  if (Held.m_Tokens < 1 + Kept)
     return RateDecision::Ask;
   Held.m_Tokens -= 1;
   return RateDecision::Pass;
--- a/src/gateway/RateShares.h
+++ b/src/gateway/RateShares.h
@@ -19,6 +19,8 @@
   double m_FixedShareRate = 10;
   /// Tokens are asked for this long ahead, at the organisation's rate.
   double m_AskAheadSeconds = 0.25;
+  /// Share of a bucket that is kept for programs that have begun.
+  double m_KeptShare = 0.3;
   /// Granted tokens that were not used are dropped after this long, so that
   /// they don't add up to a burst beside the leader's bucket.
   base::Duration m_TokenLife = base::seconds(2);
@@ -38,8 +40,10 @@
   /// Instances among which rates are divided.
   void setInstances(std::uint32_t Count) { m_Instances = Count; }
 
-  /// Takes a token of \p Sender if there is one.
-  RateDecision take(const fleet::OrganisationSpec &Sender, base::TimePoint Now);
+  /// Takes a token of \p Sender if there is one. A call that begins a program
+  /// leaves some for the calls of programs that have begun, or is asked for.
+  RateDecision take(const fleet::OrganisationSpec &Sender, bool NewProgram,
+                    base::TimePoint Now);
   /// Whether \p Sender has a fixed share, so that asking is of no use.
   bool hasFixedShare(const fleet::OrganisationSpec &Sender) const;
   std::uint32_t tokensToAsk(const fleet::OrganisationSpec &Sender) const;
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -29,7 +29,8 @@
                          const node::SettingsSource &Source)
     : m_Node({.m_Program = "psp-history",
               .m_Kind = NODE_HISTORY,
-              .m_MetricsPort = Options.m_MetricsPort},
+              .m_MetricsPort = Options.m_MetricsPort,
+              .m_PeerBindHost = Options.m_PeerBindHost},
              Source),
       m_Desk({.m_Seed = base::stableHash(m_Node.settings().m_Name)}),
       m_HouseTimer(m_Node.io()), m_AdmitTimer(m_Node.io()) {
--- a/src/history/HistoryNode.h
+++ b/src/history/HistoryNode.h
@@ -18,6 +18,7 @@
 
 struct HistoryNodeOptions {
   std::uint16_t m_MetricsPort = 0;
+  std::string m_PeerBindHost; ///< See node::NodeRuntimeOptions.
 };
 
 class HistoryNode {
--- a/src/node/NodeRuntime.cpp
+++ b/src/node/NodeRuntime.cpp
@@ -48,8 +48,10 @@
   m_Nodes.merge(m_Self, base::readClocks().m_Monotonic);
   m_Hub.setSelf(m_Self);
   if (m_Options.m_Listens)
-    m_Hub.listen(
-        {.m_Host = m_Settings.m_Host, .m_Port = m_Settings.m_PeerPort});
+    m_Hub.listen({.m_Host = m_Options.m_PeerBindHost.empty()
+                                ? m_Settings.m_Host
+                                : m_Options.m_PeerBindHost,
+                  .m_Port = m_Settings.m_PeerPort});
   if (m_Options.m_MetricsPort != 0) {
     m_MetricsServer = std::make_unique<web::HttpServer>(
         m_Io,
--- a/src/node/NodeRuntime.h
+++ b/src/node/NodeRuntime.h
@@ -31,6 +31,9 @@
   base::Duration m_SettingsInterval = base::seconds(2);
   /// Whether other nodes may connect to this one.
   bool m_Listens = true;
+  /// Listens for other nodes here instead of at the announced host, where
+  /// something between forwards to it.
+  std::string m_PeerBindHost;
 };
 
 class NodeRuntime {
--- a/src/programs/coordinator/Main.cpp
+++ b/src/programs/coordinator/Main.cpp
@@ -16,6 +16,8 @@
 DEFINE_string(settings, "",
               "Settings file; by default the one that the platform names");
 DEFINE_uint32(metrics_port, 0, "Port of the metrics, 0 for none");
+DEFINE_string(peer_bind_host, "",
+              "Listens for other nodes here instead of at the announced host");
 
 namespace {
 
@@ -30,8 +32,9 @@
   const psp::platform::BootFile Source = openSettings();
   const psp::platform::ControlDialect Protocol;
   const psp::platform::ConfigurationFormat Format;
-  psp::coordinator::Coordinator Process({.m_MetricsPort = port()}, Source,
-                                        Protocol, Format);
+  psp::coordinator::Coordinator Process(
+      {.m_MetricsPort = port(), .m_PeerBindHost = FLAGS_peer_bind_host}, Source,
+      Protocol, Format);
   Process.run();
 }
 
--- a/src/programs/history/Main.cpp
+++ b/src/programs/history/Main.cpp
@@ -14,6 +14,8 @@
 DEFINE_string(settings, "",
               "Settings file; by default the one that the platform names");
 DEFINE_uint32(metrics_port, 0, "Port of the metrics, 0 for none");
+DEFINE_string(peer_bind_host, "",
+              "Listens for other nodes here instead of at the announced host");
 
 namespace {
 
@@ -26,7 +28,9 @@
 
 void serve() {
   const psp::platform::BootFile Source = openSettings();
-  psp::history::HistoryNode Process({.m_MetricsPort = port()}, Source);
+  psp::history::HistoryNode Process(
+      {.m_MetricsPort = port(), .m_PeerBindHost = FLAGS_peer_bind_host},
+      Source);
   Process.run();
 }
 
--- a/tests/correctness/GatewayPartsTest.cpp
+++ b/tests/correctness/GatewayPartsTest.cpp
@@ -59,7 +59,7 @@
   for (int Step = 0; Step < 5000; ++Step, Now += milliseconds(1))
     for (RateShares &Each : Shares) {
       Each.setInstances(Instances);
-      Passed += Each.take(Sender, Now) == RateDecision::Pass ? 1 : 0;
+      Passed += Each.take(Sender, false, Now) == RateDecision::Pass ? 1 : 0;
     }
   EXPECT_LE(Passed, 100U * 5 + 100U);
   EXPECT_GE(Passed, 100U * 5 - Instances);
@@ -74,15 +74,30 @@
   RateShares Shares;
   Shares.setInstances(9);
   const base::TimePoint Now{seconds(100)};
-  EXPECT_EQ(Shares.take(Sender, Now), RateDecision::Ask);
+  EXPECT_EQ(Shares.take(Sender, false, Now), RateDecision::Ask);
   Shares.grant(Sender, 2, Now);
-  EXPECT_EQ(Shares.take(Sender, Now), RateDecision::Pass);
+  EXPECT_EQ(Shares.take(Sender, false, Now), RateDecision::Pass);
   {
     SCOPED_TRACE("what isn't used soon is dropped");
-    EXPECT_EQ(Shares.take(Sender, Now + seconds(3)), RateDecision::Ask);
+    EXPECT_EQ(Shares.take(Sender, false, Now + seconds(3)), RateDecision::Ask);
   }
 }
 
+TEST(RateSharesTest, ProgramsThatHaveBegunGetTheLastTokens) {
+  const fleet::OrganisationSpec Sender = {.m_Name = "g",
+                                          .m_Keys = {},
+                                          .m_Priority = {},
+                                          .m_RatePerSecond = 100,
+                                          .m_Burst = 100};
+  RateShares Shares;
+  const base::TimePoint Now{seconds(100)};
+  while (Shares.take(Sender, true, Now) == RateDecision::Pass) {
+  }
+  EXPECT_EQ(Shares.take(Sender, true, Now), RateDecision::Ask);
+  for (int Each = 0; Each < 25; ++Each)
+    EXPECT_EQ(Shares.take(Sender, false, Now), RateDecision::Pass) << Each;
+}
+
 TEST(ServicePlacementTest, AvoidsWhatHasJustFailed) {
   fleet::EndpointDirectory Directory;
   const base::TimePoint Now{seconds(10)};
--- a/tests/fleet.cmake
+++ b/tests/fleet.cmake
@@ -10,3 +10,4 @@
 psp_test(gateway_parts_test correctness/GatewayPartsTest.cpp USES psp_gateway)
 psp_test(platform_dialect_test correctness/PlatformDialectTest.cpp USES psp_platform)
 psp_test(engine_placement_test correctness/EnginePlacementTest.cpp USES psp_turns)
+psp_test(token_desk_test correctness/TokenDeskTest.cpp USES psp_coordinator)
--- a/tests/support/GroupSimulation.cpp
+++ b/tests/support/GroupSimulation.cpp
@@ -175,10 +175,10 @@
   });
 }
 
-void GroupSimulation::post(std::size_t From,
-                           std::vector<consensus::Group::Message> Messages) {
+void GroupSimulation::post(
+    std::size_t From, const std::vector<consensus::Group::Message> &Messages) {
   std::uniform_real_distribution<double> Draw(0, 1);
-  for (consensus::Group::Message &Each : Messages) {
+  for (const consensus::Group::Message &Each : Messages) {
     for (std::size_t To = 0; To < m_Nodes.size(); ++To) {
       if (m_Nodes[To].m_Identity != Each.to() ||
           Draw(m_Random) < m_Options.m_LossShare)
--- a/tests/support/GroupSimulation.h
+++ b/tests/support/GroupSimulation.h
@@ -123,7 +123,8 @@
 
   void boot(std::size_t Node, bool Found);
   void settle(std::size_t Node);
-  void post(std::size_t From, std::vector<consensus::Group::Message> Messages);
+  void post(std::size_t From,
+            const std::vector<consensus::Group::Message> &Messages);
   void deliver();
   void plan(std::size_t Node);
   base::Now now() const;
