Divide half of a high rate, keep the rest in one bucket

Ruled out: the leader's bucket, elections of the control group (none after the start), engines (no turn turned away).

Change: half of a rate of 40/s and more is divided, the other half and all of a lower rate is one bucket at the leader of control.

--- a/src/coordinator/TokenDesk.cpp
+++ b/src/coordinator/TokenDesk.cpp
@@ -21,14 +21,16 @@
   Bucket &Filled = Found->second;
   if (Fresh)
     Filled.m_FilledAt = m_Since;
+  const double Part = 1 - Asking.dividedShare();
+  const double Burst = Part * Asking.m_Burst;
   const double Seconds =
       std::chrono::duration<double>(Now - Filled.m_FilledAt).count();
   Filled.m_FilledAt = Now;
   Filled.m_Tokens =
-      std::min(std::max(Asking.m_Burst, 1.0),
-               Filled.m_Tokens + Seconds * Asking.m_RatePerSecond);
+      std::min(std::max(Burst, 1.0),
+               Filled.m_Tokens + Seconds * Part * Asking.m_RatePerSecond);
   const double Kept =
-      NewProgram ? std::min(CallsOfAProgram, KeptShare * Asking.m_Burst) : 0;
+      NewProgram ? std::min(CallsOfAProgram, KeptShare * Burst) : 0;
   const double Free = std::max(0.0, Filled.m_Tokens - Kept);
   const auto Given =
       static_cast<std::uint32_t>(std::min<double>(Wanted, std::floor(Free)));
--- a/src/fleet/ServingConfiguration.h
+++ b/src/fleet/ServingConfiguration.h
@@ -73,6 +73,15 @@
   double m_Burst = 0;
 
   bool operator==(const OrganisationSpec &) const = default;
+
+  /// Share of the rate that is divided over the entry instances; the rest is
+  /// one bucket at the leader of control. Low rates are not divided, since an
+  /// uneven spread of callers would leave tokens where nobody needs them.
+  double dividedShare() const {
+    return m_RatePerSecond >= LeastDividedRate ? 0.5 : 0;
+  }
+  /// Requests per second.
+  static constexpr double LeastDividedRate = 40;
 };
 
 struct CallerLimits {
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -121,8 +121,6 @@
                           !m_Owner.programs().isKnown(m_Facts.m_Program);
   if (Rates.take(*m_Organisation, NewProgram, now()) == RateDecision::Pass)
     co_return true;
-  if (Rates.hasFixedShare(*m_Organisation))
-    co_return false;
   messages::fleet::Request Asked;
   Asked.mutable_tokens()->set_organisation(m_Organisation->m_Name);
   Asked.mutable_tokens()->set_new_program(NewProgram);
--- a/src/gateway/RateShares.cpp
+++ b/src/gateway/RateShares.cpp
@@ -5,19 +5,14 @@
 
 namespace psp::gateway {
 
-bool RateShares::hasFixedShare(const fleet::OrganisationSpec &Sender) const {
-  return Sender.m_RatePerSecond / std::max(1U, m_Instances) >=
-         m_Options.m_FixedShareRate;
-}
-
 RateDecision RateShares::take(const fleet::OrganisationSpec &Sender,
                               bool NewProgram, base::TimePoint Now) {
   if (Sender.m_RatePerSecond <= 0)
     return RateDecision::Pass;
   const auto [Found, Fresh] = m_Buckets.try_emplace(Sender.m_Name);
   Bucket &Held = Found->second;
-  const double Share = 1.0 / std::max(1U, m_Instances);
-  if (hasFixedShare(Sender)) {
+  const double Share = Sender.dividedShare() / std::max(1U, m_Instances);
+  if (Share > 0) {
     const double Burst = std::max(1.0, Sender.m_Burst * Share);
     // A new instance doesn't know what was sent in the last window.
     const bool Changed = Held.m_Rate != Sender.m_RatePerSecond;
@@ -35,8 +30,7 @@
     Held.m_Tokens = 0;
   }
   Held.m_Rate = Sender.m_RatePerSecond;
-  const bool Fixed = hasFixedShare(Sender);
-  if (NewProgram && !Fixed)
+  if (NewProgram && Share <= 0)
     return RateDecision::Ask;
   const double Kept =
       NewProgram ? m_Options.m_KeptShare * Sender.m_Burst * Share : 0;
--- a/src/gateway/RateShares.h
+++ b/src/gateway/RateShares.h
@@ -14,9 +14,6 @@
 namespace psp::gateway {
 
 struct RateSharesOptions {
-  /// A share of at least this many requests per second is used without asking:
-  /// an organisation's uneven spread over instances stays inside it.
-  double m_FixedShareRate = 10;
   /// Tokens are asked for this long ahead, at the organisation's rate.
   double m_AskAheadSeconds = 0.25;
   /// Share of a bucket that is kept for programs that have begun.
@@ -31,8 +28,10 @@
   Ask, ///< Tokens have to be asked for first.
 };
 
-/// Organisations with a high rate have a fixed share at each instance; those
-/// with a low one take tokens from one bucket at the leader of control.
+/// Half of a high rate is divided evenly over the instances; what is asked for
+/// beyond that, and all of a low rate, comes from one bucket at the leader of
+/// control. Load pattern: a few busy callers of an organisation on one
+/// instance.
 class RateShares {
 public:
   explicit RateShares(RateSharesOptions Options = {}) : m_Options(Options) {}
@@ -44,8 +43,6 @@
   /// leaves some for the calls of programs that have begun, or is asked for.
   RateDecision take(const fleet::OrganisationSpec &Sender, bool NewProgram,
                     base::TimePoint Now);
-  /// Whether \p Sender has a fixed share, so that asking is of no use.
-  bool hasFixedShare(const fleet::OrganisationSpec &Sender) const;
   std::uint32_t tokensToAsk(const fleet::OrganisationSpec &Sender) const;
   void grant(const fleet::OrganisationSpec &Sender, std::uint32_t Tokens,
              base::TimePoint Now);
--- a/tests/correctness/TokenDeskTest.cpp
+++ b/tests/correctness/TokenDeskTest.cpp
@@ -42,5 +42,19 @@
   EXPECT_LE(Given, 5U * 5 + 10);
 }
 
+TEST(TokenDeskTest, TheDividedPartOfAHighRateIsNotGivenTwice) {
+  TokenDesk Desk;
+  fleet::OrganisationSpec Sender;
+  Sender.m_Name = "g";
+  Sender.m_RatePerSecond = 200;
+  Sender.m_Burst = 200;
+  base::TimePoint Now{seconds(100)};
+  Desk.reset(Now);
+  std::uint32_t Given = 0;
+  for (int Step = 0; Step < 1000; ++Step, Now += milliseconds(5))
+    Given += Desk.take(Sender, 3, false, Now);
+  EXPECT_LE(Given, 100U * 5 + 100);
+}
+
 } // namespace
 } // namespace psp::coordinator
