--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -1,6 +1,7 @@
 #include "coordinator/Coordinator.h"
 
 #include "base/Hash.h"
+#include "metrics/Names.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -235,6 +236,9 @@
   m_PublishedRevision = m_Machine.revision();
   if (m_Machine.version() > 0)
     m_Current = m_Codec.decode(m_Machine.document());
+  m_Node.metrics()
+      .gauge(metrics::names::ConfigurationVersion)
+      .set(static_cast<std::int64_t>(m_Machine.version()));
   m_Node.log().write("configuration_in_force",
                      {{"version", m_Machine.version()}});
   const LinkMessage Message = configurationMessage();
--- a/src/coordinator/CoordinatorCalls.cpp
+++ b/src/coordinator/CoordinatorCalls.cpp
@@ -1,6 +1,7 @@
 #include "coordinator/Coordinator.h"
 
 #include "base/Error.h"
+#include "metrics/Names.h"
 
 namespace psp::coordinator {
 
@@ -59,6 +60,7 @@
   if (m_Stopping || !isInContact())
     return Failed(ErrorKind::QuorumUnavailable,
                   "this node is cut off or stopping");
+  m_Node.metrics().counter(metrics::names::Announcements).add();
   if (m_Endpoints.merge(Call.m_State, true, readClocks().m_Monotonic))
     spread(Call.m_State);
   if (m_BeatsForPeers.endpoints_size() == 0) {
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Call.h"
 
 #include "gateway/Gateway.h"
+#include "metrics/Names.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -48,6 +49,18 @@
 asio::awaitable<bool> Call::run() {
   co_await handle();
   m_Finished = true;
+  metrics::Registry &Metrics = m_Owner.node().metrics();
+  Metrics
+      .counter(metrics::names::CallsEnded,
+               {{"outcome", m_Gone      ? "caller_left"
+                            : m_Refused ? "refused"
+                                        : "answered"}})
+      .add();
+  Metrics
+      .histogram(metrics::names::CallLatency,
+                 {{metrics::names::OrganisationLabel, organisationName()},
+                  {metrics::names::ServiceLabel, m_Service}})
+      .record(now() - m_Arrived);
   m_Timer.cancel();
   if (m_TurnOpen)
     settleTurn(false);
@@ -141,7 +154,7 @@
   messages::fleet::Request Asked;
   auto &Begin = *Asked.mutable_begin();
   Begin.set_turn(m_Facts.m_Id);
-  Begin.set_organisation(m_Organisation ? m_Organisation->m_Name : "");
+  Begin.set_organisation(organisationName());
   Begin.set_program(m_Facts.m_Program);
   Begin.set_budget(*m_Facts.m_TokenBudget);
   Begin.set_most(m_Facts.m_MostTokens);
@@ -174,6 +187,10 @@
     co_return Refusal(ErrorKind::QuorumUnavailable,
                       "no leader of history answered", ElsewhereRetry);
   if (Answer->kind() == messages::fleet::REPLY_OK) {
+    m_Owner.node()
+        .metrics()
+        .histogram(metrics::names::BeginLatency)
+        .record(now() - m_Arrived);
     m_EarlierTurns = Answer->text();
     m_PlacedOn = Answer->endpoint();
     co_return std::nullopt;
@@ -198,13 +215,21 @@
 asio::awaitable<void> Call::refuse(Refusal Reason) {
   if (m_Gone)
     co_return;
+  m_Refused = true;
+  m_Owner.node()
+      .metrics()
+      .counter(metrics::names::Refusals,
+               {{metrics::names::OrganisationLabel, organisationName()},
+                {metrics::names::KindLabel,
+                 std::string(base::errorAnswer(Reason.m_Kind).m_Name)}})
+      .add();
   m_Owner.node().log().write(
       "request_refused",
       {{"request", m_Facts.m_Id},
        {"kind", base::errorAnswer(Reason.m_Kind).m_Name},
        {"reason", Reason.m_Detail},
        {"route", m_Route ? m_Route->m_Name : ""},
-       {"organisation", m_Organisation ? m_Organisation->m_Name : ""},
+       {"organisation", organisationName()},
        {"configuration", m_Table ? m_Table->configuration().m_Version : 0},
        {"previous_turn", m_Facts.m_PreviousTurn},
        {"runs", m_Runs},
@@ -221,7 +246,7 @@
 messages::fleet::EndTurn Call::makeEnd(bool Whole) const {
   messages::fleet::EndTurn End;
   End.set_turn(m_Facts.m_Id);
-  End.set_organisation(m_Organisation ? m_Organisation->m_Name : "");
+  End.set_organisation(organisationName());
   End.set_program(m_Facts.m_Program);
   End.set_tokens(m_Tokens);
   End.set_endpoint(m_RanOn);
@@ -297,6 +322,10 @@
     m_Abort();
 }
 
+std::string Call::organisationName() const {
+  return m_Organisation ? m_Organisation->m_Name : std::string();
+}
+
 base::Duration Call::timeLeft() const {
   return std::max(base::Duration(0), std::chrono::duration_cast<base::Duration>(
                                          m_Deadline - now()));
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -76,6 +76,8 @@
   void abort();
   bool isOver() const { return m_Gone || m_Expired; }
   base::Duration timeLeft() const;
+  /// Empty on public routes.
+  std::string organisationName() const;
 
   Gateway &m_Owner;
   boost::asio::ip::tcp::socket &m_Caller;
@@ -91,6 +93,7 @@
   boost::asio::steady_timer m_Timer;
 
   bool m_Finished = false;
+  bool m_Refused = false;
   bool m_Gone = false;           ///< The caller closed its connection.
   bool m_Expired = false;        ///< The time is up.
   bool m_Answering = false;      ///< The caller has bytes of an answer.
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Call.h"
 
 #include "gateway/Gateway.h"
+#include "metrics/Names.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -161,7 +162,7 @@
       m_Received,
       {.m_EndpointId = Id,
        .m_EndpointAddress = Endpoint.address(),
-       .m_Organisation = m_Organisation ? m_Organisation->m_Name : "",
+       .m_Organisation = organisationName(),
        .m_TimeLeft = timeLeft()},
       m_EarlierTurns.empty()
           ? std::nullopt
@@ -179,6 +180,11 @@
   const unsigned Status = HasHead ? Channel->head().result_int() : 0;
   const std::uint64_t AnsweredAtUs =
       static_cast<std::uint64_t>((now() - m_Arrived).count());
+  if (HasHead)
+    m_Owner.node()
+        .metrics()
+        .histogram(metrics::names::FirstByteLatency)
+        .record(now() - m_Arrived - base::Duration(SentAtUs));
   const auto Report = [&](std::string_view Outcome) {
     m_Owner.node().log().write(
         "request_sent",
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include "base/Error.h"
 #include "base/Hash.h"
 #include "gateway/CallerSession.h"
+#include "metrics/Names.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -120,6 +121,9 @@
   try {
     m_Table = std::make_shared<const fleet::RouteTable>(
         m_Codec.decode(Update.document()));
+    m_Node.metrics()
+        .gauge(metrics::names::ConfigurationVersion)
+        .set(static_cast<std::int64_t>(Update.version()));
     m_Node.log().write("configuration_in_force",
                        {{"version", Update.version()}, {"before", Held}});
   } catch (const base::UserError &Fault) {
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -1,6 +1,7 @@
 #include "history/HistoryNode.h"
 
 #include "base/Hash.h"
+#include "metrics/Names.h"
 
 #include <algorithm>
 #include <filesystem>
@@ -130,6 +131,7 @@
                              base::Duration RetryAfter) {
   const auto &Begin = Asked.m_Request.begin();
   const auto Load = m_Desk.load(Begin.service());
+  m_Node.metrics().counter(metrics::names::TurnsTurnedAway).add();
   m_Node.log().write(
       "turn_turned_away",
       {{"request", Begin.turn()},
@@ -168,6 +170,8 @@
 void HistoryNode::propose(const std::string &From, const Request &Asked) {
   if (m_Desk.joins(From, Asked))
     return;
+  if (Asked.has_begin())
+    m_Node.metrics().counter(metrics::names::TurnsBegun).add();
   // Ends are always taken: they free what begins have reserved.
   if (Asked.has_begin() && m_Desk.waiting() >= MostWaiting) {
     Reply Answer;
@@ -243,6 +247,9 @@
 void HistoryNode::housekeeping() {
   m_Desk.setTime(readClocks().m_Monotonic);
   m_Desk.expire();
+  m_Node.metrics()
+      .gauge(metrics::names::TurnsKept)
+      .set(static_cast<std::int64_t>(m_Desk.ledger().turnCount()));
   m_HouseTimer.expires_after(HouseInterval);
   m_HouseTimer.async_wait([this](boost::system::error_code Error) {
     if (!Error && !m_Stopping)
--- a/src/metrics/Names.h
+++ b/src/metrics/Names.h
@@ -40,6 +40,26 @@
     "psp_recomputed_tokens_total",
     "Prompt tokens that an endpoint had to process again"};
 
+// Deployments whose nodes find each other.
+
+inline const MetricName CallsEnded{"psp_calls_total",
+                                   "Calls of callers that ended, by outcome"};
+inline const MetricName BeginLatency{
+    "psp_turn_begin_seconds",
+    "Time until the leader of history let a turn begin"};
+inline const MetricName FirstByteLatency{"psp_endpoint_first_byte_seconds",
+                                         "From a send to the answer's head"};
+inline const MetricName TurnsBegun{"psp_turns_begun_total",
+                                   "Turns that the leader let begin"};
+inline const MetricName TurnsTurnedAway{"psp_turns_turned_away_total",
+                                        "Turns refused since engines are full"};
+inline const MetricName TurnsKept{"psp_turns_kept",
+                                  "Turns that later turns may continue from"};
+inline const MetricName Announcements{"psp_announcements_total",
+                                      "Announcements of endpoints taken"};
+inline const MetricName ConfigurationVersion{"psp_configuration_version",
+                                             "Version in force here"};
+
 } // namespace psp::metrics::names
 
 #endif
