--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -43,7 +43,7 @@
 
 } // namespace
 
-Coordinator::Coordinator(CoordinatorOptions Options,
+Coordinator::Coordinator(const CoordinatorOptions &Options,
                          const node::SettingsSource &Source,
                          const ControlProtocol &Protocol,
                          const fleet::ConfigurationCodec &Codec)
--- a/src/coordinator/Coordinator.h
+++ b/src/coordinator/Coordinator.h
@@ -36,7 +36,8 @@
 
 class Coordinator {
 public:
-  Coordinator(CoordinatorOptions Options, const node::SettingsSource &Source,
+  Coordinator(const CoordinatorOptions &Options,
+              const node::SettingsSource &Source,
               const ControlProtocol &Protocol,
               const fleet::ConfigurationCodec &Codec);
 
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-HistoryNode::HistoryNode(HistoryNodeOptions Options,
+HistoryNode::HistoryNode(const HistoryNodeOptions &Options,
                          const node::SettingsSource &Source)
     : m_Node({.m_Program = "psp-history",
               .m_Kind = NODE_HISTORY,
--- a/src/history/HistoryNode.h
+++ b/src/history/HistoryNode.h
@@ -23,7 +23,8 @@
 
 class HistoryNode {
 public:
-  HistoryNode(HistoryNodeOptions Options, const node::SettingsSource &Source);
+  HistoryNode(const HistoryNodeOptions &Options,
+              const node::SettingsSource &Source);
 
   void run();
 
