While no leader is known one call looks for it; retry times by what is missing

Callers were told to come back in 0.6 s while nothing was up yet and in 1 s when the leader was 0.2 s away, and used up their tries. Links were tried anew only 0.95 s after a machine without power hadn't answered.

Now LeaderSearch lets one call of an instance ask, and the others go on when it has found the leader. retryWithoutLeader() tells: when a deployment that starts as a whole can serve; an election's time while most of history is in reach; the balancer's time where this instance is cut off. Connects end after 300 ms.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -24,9 +24,6 @@
 
 /// Time until a leader is elected, for callers that are told to come back.
 constexpr base::Duration ElectionRetry = base::milliseconds(600);
-/// Time until the balancer sends callers elsewhere, where a leader is missing
-/// for longer than an election takes.
-constexpr base::Duration ElsewhereRetry = base::milliseconds(1000);
 /// Time until an endpoint has announced itself, or a place is free.
 constexpr base::Duration EndpointRetry = base::milliseconds(250);
 constexpr base::Duration RateRetry = base::milliseconds(500);
@@ -112,7 +109,8 @@
 std::optional<Refusal> Call::checkRoute() {
   if (!m_Table)
     return Refusal(ErrorKind::QuorumUnavailable,
-                   "no configuration is known yet", ElectionRetry);
+                   "no configuration is known yet",
+                   m_Owner.retryWithoutLeader());
   const std::string_view Target = m_Received.target();
   m_Route = m_Table->find(m_Facts.m_Host, Target.substr(0, Target.find('?')));
   if (!m_Route)
@@ -185,7 +183,8 @@
            Answer->wait_ms() == 0 && !isOver() && now() < Until);
   if (!Answer || Answer->kind() == messages::fleet::REPLY_UNAVAILABLE)
     co_return Refusal(ErrorKind::QuorumUnavailable,
-                      "no leader of history answered", ElsewhereRetry);
+                      "no leader of history answered",
+                      m_Owner.retryWithoutLeader());
   if (Answer->kind() == messages::fleet::REPLY_OK) {
     m_Owner.node()
         .metrics()
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include "base/Error.h"
 #include "base/Hash.h"
 #include "gateway/CallerSession.h"
+#include "gateway/RetryTime.h"
 #include "metrics/Names.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -52,11 +53,14 @@
              Source),
       m_Placement({.m_DataCentre = m_Node.settings().m_DataCentre,
                    .m_Seed = seedOf(m_Node.settings().m_Name)}),
-      m_Pool(m_Node.io(), {}), m_Requests(m_Node.io()), m_Acceptor(m_Node.io()),
-      m_HouseTimer(m_Node.io()), m_StopTimer(m_Node.io()),
+      m_Pool(m_Node.io(), {}), m_Requests(m_Node.io()),
+      m_HistorySearch(m_Node.io()), m_ControlSearch(m_Node.io()),
+      m_Acceptor(m_Node.io()), m_HouseTimer(m_Node.io()),
+      m_StopTimer(m_Node.io()),
       m_Random(seedOf(m_Node.settings().m_Name + "/draw")) {}
 
 void Gateway::run() {
+  m_StartedAt = now();
   const node::NodeSettings &Settings = m_Node.settings();
   m_Node.start(
       "", {.m_OnMessage = [this](const NodeState &,
@@ -134,10 +138,15 @@
   }
 }
 
+LeaderSearch &Gateway::searchFor(NodeKind Kind) {
+  return Kind == NODE_HISTORY ? m_HistorySearch : m_ControlSearch;
+}
+
 std::string Gateway::pickNode(NodeKind Kind) {
-  const std::string &Leader = m_Leaders[Kind];
-  if (!Leader.empty() && m_Node.hub().isUp(Leader))
-    return Leader;
+  const LeaderSearch &Search = searchFor(Kind);
+  for (const std::string &Believed : {Search.leader(), Search.hinted()})
+    if (!Believed.empty() && m_Node.hub().isUp(Believed))
+      return Believed;
   std::vector<std::string> Names;
   for (const NodeState &Each : m_Node.nodes().ofKind(Kind))
     if (m_Node.hub().isUp(Each.name()) && !Each.stopping())
@@ -149,44 +158,71 @@
 Gateway::askLeader(NodeKind Kind, messages::fleet::Request Asked,
                    base::Duration Limit) {
   const base::TimePoint Until = now() + Limit;
+  LeaderSearch &Search = searchFor(Kind);
   while (now() < Until) {
+    const auto Entry = co_await Search.enter(Until - now());
+    if (Entry == LeaderSearch::Entry::TimedOut)
+      break;
     const std::string Node = pickNode(Kind);
-    bool Pause = Node.empty();
-    if (!Node.empty()) {
-      const std::uint64_t Id = m_Requests.nextId();
-      LinkMessage Message;
-      Asked.set_id(Id);
-      *Message.mutable_request() = Asked;
-      m_Node.hub().send(Node, Message);
-      const auto Answer = co_await m_Requests.wait(
-          Id,
-          std::min<base::Duration>(m_Options.m_LeaderPatience, Until - now()));
-      if (!Answer) {
-        m_Leaders[Kind].clear();
-        continue;
-      }
-      if (Answer->kind() != messages::fleet::REPLY_NOT_LEADER) {
-        m_Leaders[Kind] = Node;
-        if (Kind == NODE_HISTORY)
-          m_LeaderAnsweredAt = now();
-        co_return Answer;
-      }
-      Pause = Answer->leader().empty() || Answer->leader() == Node;
-      m_Leaders[Kind] = Pause ? std::string() : Answer->leader();
-    }
-    if (Pause) {
-      asio::steady_timer Timer(io(), m_Options.m_LeaderRetry);
-      co_await Timer.async_wait(asio::use_awaitable);
+    auto Answer = co_await askNode(Node, Asked, Until - now());
+    const bool Led =
+        Answer && Answer->kind() != messages::fleet::REPLY_NOT_LEADER;
+    if (Led) {
+      Search.found(Node);
+      if (Kind == NODE_HISTORY)
+        m_LeaderAnsweredAt = now();
+    } else {
+      Search.lost(Node);
+      const bool Hinted = Answer && Answer->leader() != Node;
+      if (Hinted)
+        Search.hint(Answer->leader());
+      const bool Pause =
+          Node.empty() || (Answer && (!Hinted || Answer->leader().empty()));
+      if (Pause)
+        co_await pause(m_Options.m_LeaderRetry);
     }
+    if (Entry == LeaderSearch::Entry::Seek)
+      Search.leave();
+    if (Led)
+      co_return Answer;
   }
   co_return std::nullopt;
 }
 
+/// Nothing if there is no such node, or it didn't answer.
+asio::awaitable<std::optional<Reply>>
+Gateway::askNode(const std::string &Node, messages::fleet::Request &Asked,
+                 base::Duration Limit) {
+  if (Node.empty())
+    co_return std::nullopt;
+  Asked.set_id(m_Requests.nextId());
+  LinkMessage Message;
+  *Message.mutable_request() = Asked;
+  m_Node.hub().send(Node, Message);
+  co_return co_await m_Requests.wait(
+      Asked.id(), std::min<base::Duration>(m_Options.m_LeaderPatience, Limit));
+}
+
+asio::awaitable<void> Gateway::pause(base::Duration Length) {
+  asio::steady_timer Timer(io(), Length);
+  co_await Timer.async_wait(asio::use_awaitable);
+}
+
 base::Duration Gateway::leaderWait() const {
   const bool Missing = now() - m_LeaderAnsweredAt > m_Options.m_LeaderWait;
   return Missing ? m_Options.m_MissingLeaderWait : m_Options.m_LeaderWait;
 }
 
+base::Duration Gateway::retryWithoutLeader() {
+  LeaderOutlook Outlook;
+  Outlook.m_Uptime = now() - m_StartedAt;
+  for (const NodeState &Each : m_Node.nodes().ofKind(NODE_HISTORY)) {
+    ++Outlook.m_HistoryNodes;
+    Outlook.m_Reached += m_Node.hub().isUp(Each.name()) ? 1 : 0;
+  }
+  return gateway::retryWithoutLeader(Outlook);
+}
+
 void Gateway::recordLater(EndTurn End) {
   asio::co_spawn(io(), record(std::move(End)), asio::detached);
 }
@@ -240,7 +276,7 @@
     m_Node.log().write(
         "readiness_changed",
         {{"ready", Ready ? "yes" : "no"},
-         {"leader", m_Leaders[NODE_HISTORY]},
+         {"leader", m_HistorySearch.leader()},
          {"configuration", m_Table ? m_Table->configuration().m_Version : 0}});
   m_HouseTimer.expires_after(HouseInterval);
   m_HouseTimer.async_wait([this](boost::system::error_code Error) {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/CallProtocol.h"
 #include "gateway/EndpointChannel.h"
 #include "gateway/KnownPrograms.h"
+#include "gateway/LeaderSearch.h"
 #include "gateway/RateShares.h"
 #include "gateway/ServicePlacement.h"
 #include "link/RequestTable.h"
@@ -76,6 +77,8 @@
             base::Duration Limit);
   /// How long a call may wait for the leader of history, as far as known.
   base::Duration leaderWait() const;
+  /// When a caller should come back while no leader of history is there.
+  base::Duration retryWithoutLeader();
   /// Has the turn recorded, without waiting for it.
   void recordLater(messages::fleet::EndTurn End);
 
@@ -119,6 +122,11 @@
   void probeLeader();
   base::Duration probeInterval() const;
   std::string pickNode(messages::fleet::NodeKind Kind);
+  LeaderSearch &searchFor(messages::fleet::NodeKind Kind);
+  boost::asio::awaitable<std::optional<messages::fleet::Reply>>
+  askNode(const std::string &Node, messages::fleet::Request &Asked,
+          base::Duration Limit);
+  boost::asio::awaitable<void> pause(base::Duration Length);
   void stop();
   void finishWhenIdle();
   void closeIdle();
@@ -134,8 +142,10 @@
   RateShares m_Rates;
   KnownPrograms m_Programs;
   link::RequestTable m_Requests;
-  std::map<messages::fleet::NodeKind, std::string> m_Leaders;
+  LeaderSearch m_HistorySearch;
+  LeaderSearch m_ControlSearch;
   std::size_t m_NextNode = 0;
+  base::TimePoint m_StartedAt;
   base::TimePoint m_LeaderAnsweredAt;
   std::uint32_t m_EntryInstances = 1;
   boost::asio::ip::tcp::acceptor m_Acceptor;
--- /dev/null
+++ b/src/gateway/RetryTime.h
@@ -0,0 +1,28 @@
+/// \file
+/// When callers should come back while this instance can't serve turns.
+
+#ifndef PSP_GATEWAY_RETRYTIME_H
+#define PSP_GATEWAY_RETRYTIME_H
+
+#include "base/Time.h"
+
+#include <cstddef>
+
+namespace psp::gateway {
+
+/// What an instance without a leader of history knows of its surroundings.
+struct LeaderOutlook {
+  base::Duration m_Uptime{0};     ///< Since this instance started.
+  std::size_t m_HistoryNodes = 0; ///< Known.
+  std::size_t m_Reached = 0;      ///< Of them, with an open connection.
+};
+
+/// Load pattern: everything restarts after a power cut, and callers who come
+/// back too early use up their few tries before there is anyone to serve them;
+/// one data centre is cut off, and its callers are moved elsewhere by the
+/// balancer; a leader is lost, and an election takes a fraction of a second.
+base::Duration retryWithoutLeader(const LeaderOutlook &Outlook);
+
+} // namespace psp::gateway
+
+#endif
--- a/src/link/Hub.h
+++ b/src/link/Hub.h
@@ -32,8 +32,8 @@
   /// Pause before another try to connect.
   base::Duration m_RetryInterval = base::milliseconds(250);
   /// A try to connect ends after this long: several round trips between data
-  /// centres, and below a resent opening packet.
-  base::Duration m_ConnectTimeout = base::milliseconds(700);
+  /// centres. A machine without power answers nothing, and is back soon.
+  base::Duration m_ConnectTimeout = base::milliseconds(300);
 };
 
 class Hub {
--- a/tests/correctness/GatewayPartsTest.cpp
+++ b/tests/correctness/GatewayPartsTest.cpp
@@ -3,6 +3,7 @@
 #include "fleet/RouteTable.h"
 #include "gateway/EventStream.h"
 #include "gateway/RateShares.h"
+#include "gateway/RetryTime.h"
 #include "gateway/ServicePlacement.h"
 
 #include <gtest/gtest.h>
@@ -145,5 +146,29 @@
   EXPECT_EQ(Placement.place("desk", "", {}, Directory, Now)->id(), "a");
 }
 
+TEST(RetryTimeTest, CallersComeBackWhenALeaderCanBeThere) {
+  {
+    SCOPED_TRACE("just after a start of everything: when that is over");
+    EXPECT_EQ(retryWithoutLeader({.m_Uptime = base::milliseconds(300),
+                                  .m_HistoryNodes = 0,
+                                  .m_Reached = 0}),
+              base::milliseconds(1000));
+  }
+  {
+    SCOPED_TRACE("most of history is in reach: an election is under way");
+    EXPECT_EQ(retryWithoutLeader({.m_Uptime = base::seconds(60),
+                                  .m_HistoryNodes = 3,
+                                  .m_Reached = 2}),
+              base::milliseconds(400));
+  }
+  {
+    SCOPED_TRACE("cut off: when the balancer has sent the caller elsewhere");
+    EXPECT_EQ(retryWithoutLeader({.m_Uptime = base::seconds(60),
+                                  .m_HistoryNodes = 3,
+                                  .m_Reached = 1}),
+              base::milliseconds(1000));
+  }
+}
+
 } // namespace
 } // namespace psp::gateway
