A kept turn's end names the engine that ran it

Cause: the engine was noted after the send, but a kept turn is recorded inside it, so that the pace of bevel-advice and fitter-chat turns was held against no engine and slow ones kept their share.

--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -95,11 +95,11 @@
     const std::string &Id = Endpoint.id();
     Placement.onSent(Id);
     const TimePoint Start = now();
+    m_RanOn = Id;
     const SendOutcome Outcome = co_await sendTo(Endpoint);
     const bool Success = Outcome == SendOutcome::Answered;
     Placement.onDone(Id, Success ? now() - Start : base::Duration(0), now());
     Excluded.insert(Id);
-    m_RanOn = Id;
     if (Outcome == SendOutcome::Answered)
       co_return;
     if (Outcome == SendOutcome::Broken) {
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -181,6 +181,10 @@
     reply(From, Asked.id(), std::move(Answer));
     return;
   }
+  if (Asked.end().keep() && Asked.end().endpoint().empty())
+    m_Node.log().write("turn_names_no_endpoint",
+                       {{"request", Asked.end().turn()},
+                        {"reason", "its pace is held against no engine"}});
   messages::fleet::HistoryCommand Command;
   if (Asked.has_begin())
     *Command.mutable_begin() = Asked.begin();
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -301,6 +301,8 @@
         for request, status in self.answers.items():
             if request in self.runs and request.endswith("a"):
                 self.fail(f"{request} was answered {status} and ran")
+        for name in self.fleet.names_with("event=turn_names_no_endpoint"):
+            self.fail(f"{name} recorded a whole turn without the engine that ran it")
         for name in self.fleet.unexpected_ends():
             self.fail(f"{name} ended by itself")
 
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -143,6 +143,10 @@
         for node in self.nodes:
             node.stop_now()
 
+    def names_with(self, event):
+        """Nodes that logged the event."""
+        return [n.name for n in self.nodes if event.encode() in (self.data / f"{n.name}.log").read_bytes()]
+
     def unexpected_ends(self):
         """Nodes whose process ended without the soak having ended it."""
         return [n.name for n in self.nodes if n.process and n.process.poll() not in (None, 0, -9)]
