Engines out of reach are noticed by their silence, and the leader is told

A turn's call now ends when nothing has come from the engine on any connection of the instance for a second (SilenceWatch); time in which this process stood still or the caller didn't read doesn't count. Turns that end name engines that couldn't be reached, and the leader avoids them for 1.5 s. Unacknowledged bytes end a connection to an endpoint after 1 s instead of 3.

Ruled out: sending a resumable stream on elsewhere, since a wrong guess runs it twice.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -41,7 +41,7 @@
     : m_Owner(Owner), m_Caller(Caller), m_Received(std::move(Received)),
       m_KeepAlive(KeepAlive), m_Facts(Owner.protocol().readCall(m_Received)),
       m_Table(Owner.table()), m_Arrived(now()), m_Deadline(m_Arrived),
-      m_Timer(Owner.io()) {}
+      m_Timer(Owner.io()), m_WatchTimer(Owner.io()) {}
 
 asio::awaitable<bool> Call::run() {
   co_await handle();
@@ -250,6 +250,8 @@
   End.set_tokens(m_Tokens);
   End.set_endpoint(m_RanOn);
   End.set_event_gap_us(m_EventGapUs);
+  for (const std::string &Each : m_Silent)
+    *End.add_silent() = Each;
   End.set_retention_ms(static_cast<std::uint64_t>(
       std::chrono::duration_cast<base::milliseconds>(m_Route->m_Retention)
           .count()));
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -9,6 +9,7 @@
 #include "gateway/CallProtocol.h"
 #include "gateway/EndpointChannel.h"
 #include "gateway/EventStream.h"
+#include "gateway/SilenceWatch.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -19,6 +20,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace psp::gateway {
 
@@ -63,6 +65,8 @@
   std::string answerHead(const ResponseHead &Head,
                          const std::string &Framing) const;
   bool mayRepeat() const;
+  /// Ends the wait for \p Endpoint when that is out of reach.
+  void watchSilence(const std::string &Endpoint);
 
   // Turns.
   messages::fleet::EndTurn makeEnd(bool Whole) const;
@@ -107,6 +111,10 @@
   std::uint32_t m_EventGapUs = 0;
   std::string m_Output;
   std::string m_RanOn;
+  std::vector<std::string> m_Silent; ///< Endpoints that couldn't be reached.
+  bool m_PassingOn = false;          ///< Waits for the caller to take bytes.
+  std::optional<SilenceWatch> m_Watch;
+  boost::asio::steady_timer m_WatchTimer;
   std::uint32_t m_Runs = 0;
 };
 
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -156,6 +156,7 @@
       !co_await Channel->connect(
           std::min(m_Owner.options().m_ConnectLimit, timeLeft()))) {
     Placement.onUnreachable(Id, now());
+    m_Silent.push_back(Id);
     co_return isOver() ? SendOutcome::Ended : SendOutcome::NotRun;
   }
   Request Out = m_Owner.protocol().makeRequest(
@@ -175,8 +176,19 @@
     co_return isOver() ? SendOutcome::Ended : SendOutcome::NotRun;
   }
   ++m_Runs;
+  if (m_IsTurn)
+    watchSilence(Id);
+  struct EndWatch {
+    Call &m_Target;
+    ~EndWatch() {
+      m_Target.m_Watch.reset();
+      m_Target.m_WatchTimer.cancel();
+    }
+  } WatchEnds{*this};
   AnswerFacts Facts;
   const bool HasHead = co_await readOwnHead(*Channel, Facts);
+  if (HasHead)
+    Placement.onHeard(Id, now());
   const unsigned Status = HasHead ? Channel->head().result_int() : 0;
   const std::uint64_t AnsweredAtUs =
       static_cast<std::uint64_t>((now() - m_Arrived).count());
@@ -235,6 +247,34 @@
   co_return Outcome;
 }
 
+void Call::watchSilence(const std::string &Endpoint) {
+  if (!m_Watch)
+    m_Watch.emplace(now());
+  m_WatchTimer.expires_at(m_Watch->nextLook());
+  m_WatchTimer.async_wait([Self = shared_from_this(),
+                           Endpoint](boost::system::error_code Cancelled) {
+    if (Cancelled || Self->m_Finished || !Self->m_Watch)
+      return;
+    ServicePlacement &Placement = Self->m_Owner.placement();
+    // A caller that takes its time keeps this instance from reading.
+    if (Self->m_PassingOn)
+      Self->m_Watch->excuse(now());
+    const base::TimePoint HeardAt = Placement.heardAt(Endpoint);
+    if (!Self->m_Watch->look(HeardAt, now())) {
+      Self->watchSilence(Endpoint);
+      return;
+    }
+    Self->m_Owner.node().log().write(
+        "endpoint_silent", {{"request", Self->m_Facts.m_Id},
+                            {"endpoint", Endpoint},
+                            {"heard_us_ago", static_cast<std::uint64_t>(
+                                                 (now() - HeardAt).count())}});
+    Placement.onUnreachable(Endpoint, now());
+    Self->m_Silent.push_back(Endpoint);
+    Self->abort();
+  });
+}
+
 /// Reads answers until the one to this request; others are late copies.
 asio::awaitable<bool> Call::readOwnHead(EndpointChannel &Channel,
                                         AnswerFacts &Facts) {
@@ -294,12 +334,18 @@
         Events.eventCount() + (Events.isBetweenEvents() ? 0 : 1);
     m_Tokens = Begun * TokensPerEvent;
     LastAt = now();
+    m_Owner.placement().onHeard(m_RanOn, LastAt);
     if (!FirstAt)
       FirstAt = LastAt;
     m_Answering = true;
-    if (!co_await write(std::exchange(Head, {}) + chunkOf(Piece)))
+    m_PassingOn = true;
+    const bool Passed =
+        co_await write(std::exchange(Head, {}) + chunkOf(Piece));
+    m_PassingOn = false;
+    if (!Passed)
       co_return SendOutcome::Broken;
   }
+  m_Watch.reset();
   if (FirstAt && Events.eventCount() > 1)
     m_EventGapUs = static_cast<std::uint32_t>(
         (LastAt - *FirstAt).count() /
--- a/src/gateway/EndpointChannel.cpp
+++ b/src/gateway/EndpointChannel.cpp
@@ -23,9 +23,9 @@
 
 constexpr std::size_t ChunkBytes = 8U << 10U;
 constexpr std::uint32_t HeadBytes = 32U << 10U;
-/// Unacknowledged bytes end a connection after this long, in milliseconds: a
-/// silent path is noticed though the endpoint is only slow.
-constexpr int UserTimeoutMs = 3000;
+/// Unacknowledged bytes end a connection after this long, in milliseconds: some
+/// resent packets. The system of a slow endpoint acknowledges at once.
+constexpr int UserTimeoutMs = 1000;
 
 std::optional<tcp::endpoint> parseAddress(const std::string &Address) {
   const std::size_t Colon = Address.rfind(':');
--- a/src/gateway/ServicePlacement.cpp
+++ b/src/gateway/ServicePlacement.cpp
@@ -93,6 +93,16 @@
                                       m_Options.m_LongestAvoidTime);
 }
 
+void ServicePlacement::onHeard(const std::string &Endpoint,
+                               base::TimePoint Now) {
+  m_Rows[Endpoint].m_HeardAt = Now;
+}
+
+base::TimePoint ServicePlacement::heardAt(const std::string &Endpoint) const {
+  const auto Found = m_Rows.find(Endpoint);
+  return Found == m_Rows.end() ? base::TimePoint() : Found->second.m_HeardAt;
+}
+
 void ServicePlacement::onFull(const std::string &Endpoint,
                               base::TimePoint Now) {
   Row &Known = m_Rows[Endpoint];
--- a/src/gateway/ServicePlacement.h
+++ b/src/gateway/ServicePlacement.h
@@ -52,6 +52,10 @@
               base::TimePoint Now);
   /// No connection came about, so the next call would fail as well.
   void onUnreachable(const std::string &Endpoint, base::TimePoint Now);
+  /// Bytes came from the endpoint, on any connection.
+  void onHeard(const std::string &Endpoint, base::TimePoint Now);
+  /// When that was last.
+  base::TimePoint heardAt(const std::string &Endpoint) const;
   /// One call failed; others may succeed.
   void onFailed(const std::string &Endpoint);
   /// The endpoint said that it is full.
@@ -65,6 +69,7 @@
     double m_FailedShare = 0;
     std::uint32_t m_FailuresInRow = 0;
     base::TimePoint m_AvoidUntil;
+    base::TimePoint m_HeardAt;
   };
 
   double cost(const fleet::EndpointState &Candidate, base::TimePoint Now);
--- a/src/history/HistoryDesk.cpp
+++ b/src/history/HistoryDesk.cpp
@@ -66,6 +66,8 @@
 }
 
 void HistoryDesk::learn(const messages::fleet::EndTurn &End) {
+  for (const std::string &Each : End.silent())
+    m_Placement.avoid(Each, m_Now);
   m_Admission.observeGap(End.event_gap_us());
   m_Placement.finish(End.turn(),
                      {.m_Endpoint = End.endpoint(),
--- a/src/turns/EnginePlacement.cpp
+++ b/src/turns/EnginePlacement.cpp
@@ -17,7 +17,8 @@
 constexpr double FailureWeight = 0.1;
 /// What a turn beyond an engine's slots waits, as a share of a whole turn.
 constexpr double QueuedShare = 0.5;
-/// Silent engines are taken only when all others cost more than this, in ms.
+/// Silent engines and avoided ones are taken only when all others cost more
+/// than this, in ms.
 constexpr double SilentMs = 2000;
 
 } // namespace
@@ -90,7 +91,7 @@
       m_Options.m_TurnMs * Slowness * (1 + QueuedShare * Queued * Slots) +
       m_Options.m_LoadMs * Known.m_Running * Slowness +
       m_Options.m_FailureMs * Known.m_FailedShare * Fade;
-  if (Candidate.silent())
+  if (Candidate.silent() || Now < Known.m_AvoidUntil)
     Total += SilentMs;
   return Total;
 }
@@ -137,6 +138,10 @@
   Ran.m_SeenAt = Now;
 }
 
+void EnginePlacement::avoid(const std::string &Endpoint, base::TimePoint Now) {
+  m_Engines[Endpoint].m_AvoidUntil = Now + m_Options.m_AvoidTime;
+}
+
 void EnginePlacement::expire(base::TimePoint Now) {
   std::erase_if(m_Running, [&](const auto &Row) {
     if (Now - Row.second.m_Since < m_Options.m_TurnLimit)
--- a/src/turns/EnginePlacement.h
+++ b/src/turns/EnginePlacement.h
@@ -36,6 +36,9 @@
   base::Duration m_FadeTime = base::seconds(4);
   /// A turn without news is taken as over after this long.
   base::Duration m_TurnLimit = base::seconds(6);
+  /// An engine that an entry instance can't reach is avoided this long: until
+  /// its announcements are missed, if it is lost or cut off.
+  base::Duration m_AvoidTime = base::milliseconds(1500);
   /// Programs keep their preference for an engine this long.
   base::Duration m_AffinityTime = base::seconds(20);
 };
@@ -63,6 +66,8 @@
   /// The turn is over.
   void finish(const std::string &Turn, const Observation &Seen,
               base::TimePoint Now);
+  /// An entry instance can't reach \p Endpoint.
+  void avoid(const std::string &Endpoint, base::TimePoint Now);
   /// Drops turns without news.
   void expire(base::TimePoint Now);
 
@@ -75,6 +80,7 @@
     double m_EventGapUs = 0;  ///< Smoothed; zero: unknown.
     double m_FailedShare = 0; ///< Smoothed share of turns that failed.
     base::TimePoint m_SeenAt;
+    base::TimePoint m_AvoidUntil;
   };
   struct Running {
     std::string m_Endpoint;
--- a/tests/correctness/EnginePlacementTest.cpp
+++ b/tests/correctness/EnginePlacementTest.cpp
@@ -112,5 +112,18 @@
   EXPECT_EQ(m_Placement.runningOn(Engine), 0U);
 }
 
+/// Load pattern: a data centre is cut off, and its engines go on being chosen
+/// until their announcements are missed.
+TEST_F(EnginePlacementTest, AnEngineOutOfReachIsAvoidedForAWhile) {
+  m_Placement.avoid("e3", m_Now);
+  const auto While = playTurns(100, 0, {});
+  EXPECT_FALSE(While.contains("e3"));
+  {
+    SCOPED_TRACE("after that it is tried again");
+    m_Now += seconds(2);
+    EXPECT_TRUE(playTurns(300, 0, {}).contains("e3"));
+  }
+}
+
 } // namespace
 } // namespace psp::turns
--- a/tests/correctness/GatewayPartsTest.cpp
+++ b/tests/correctness/GatewayPartsTest.cpp
@@ -5,6 +5,7 @@
 #include "gateway/RateShares.h"
 #include "gateway/RetryTime.h"
 #include "gateway/ServicePlacement.h"
+#include "gateway/SilenceWatch.h"
 
 #include <gtest/gtest.h>
 
@@ -170,5 +171,41 @@
   }
 }
 
+TEST(SilenceWatchTest, AnEngineIsOutOfReachWhenNothingComesFromIt) {
+  const base::TimePoint Start{seconds(100)};
+  const auto LookUntil = [](SilenceWatch &Watch, base::TimePoint Heard,
+                            base::TimePoint Until) {
+    while (Watch.nextLook() <= Until)
+      if (Watch.look(Heard, Watch.nextLook()))
+        return true;
+    return false;
+  };
+  {
+    SCOPED_TRACE("never heard: after the limit, not before");
+    SilenceWatch Watch(Start);
+    EXPECT_FALSE(LookUntil(Watch, {}, Start + milliseconds(1000)));
+    EXPECT_TRUE(LookUntil(Watch, {}, Start + milliseconds(1300)));
+  }
+  {
+    SCOPED_TRACE("another call hears from it: it is only slow");
+    SilenceWatch Watch(Start);
+    EXPECT_FALSE(LookUntil(Watch, Start + milliseconds(900),
+                           Start + milliseconds(1800)));
+  }
+  {
+    SCOPED_TRACE("this process stood still: what came meanwhile is unread");
+    SilenceWatch Watch(Start);
+    EXPECT_FALSE(Watch.look({}, Start + seconds(4)));
+    EXPECT_FALSE(LookUntil(Watch, {}, Start + milliseconds(4800)));
+    EXPECT_TRUE(LookUntil(Watch, {}, Start + milliseconds(5300)));
+  }
+  {
+    SCOPED_TRACE("a caller that took its time isn't the engine's fault");
+    SilenceWatch Watch(Start);
+    Watch.excuse(Start + milliseconds(950));
+    EXPECT_FALSE(LookUntil(Watch, {}, Start + milliseconds(1900)));
+  }
+}
+
 } // namespace
 } // namespace psp::gateway
