--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -21,8 +21,6 @@
 namespace {
 
 constexpr base::Duration HouseInterval = base::milliseconds(500);
-/// Time for the last messages of a stopping process to leave.
-constexpr base::Duration StopDelay = base::milliseconds(300);
 
 constexpr std::size_t IdentityBytes = 8;
 
@@ -346,9 +344,7 @@
     return;
   m_Node.announceStop();
   m_Group->handOver();
-  m_BeatTimer.expires_after(StopDelay);
-  m_BeatTimer.async_wait(
-      [this](boost::system::error_code) { m_Node.finish(); });
+  m_Node.finishSoon();
 }
 
 } // namespace psp::coordinator
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -162,7 +162,6 @@
       std::chrono::duration_cast<base::milliseconds>(m_Route->m_Retention)
           .count()));
   Begin.set_service(m_Service);
-  Begin.set_session(m_Facts.m_Session);
   Begin.set_wants_endpoint(true);
   Begin.set_prompt_prefix(m_Facts.m_PromptPrefix);
   if (m_Facts.m_ProgramTimeLeft) {
--- a/src/gateway/CallProtocol.h
+++ b/src/gateway/CallProtocol.h
@@ -30,7 +30,6 @@
   std::string m_Host;
   std::optional<base::Duration> m_TimeLeft; ///< Until the caller gives up.
   std::string m_Program;
-  std::string m_Session;
   /// Time until the program should be finished.
   std::optional<base::Duration> m_ProgramTimeLeft;
   std::string m_PreviousTurn;
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -15,8 +15,6 @@
 namespace {
 
 constexpr base::Duration HouseInterval = base::milliseconds(500);
-/// Time for the last messages of a stopping process to leave.
-constexpr base::Duration StopDelay = base::milliseconds(300);
 constexpr std::size_t IdentityBytes = 8;
 /// Begins are refused while this many commands wait for their commit: more than
 /// a leader commits in the time that an entry instance waits.
@@ -268,9 +266,7 @@
     return;
   m_Node.announceStop();
   m_Group->handOver();
-  m_HouseTimer.expires_after(StopDelay);
-  m_HouseTimer.async_wait(
-      [this](boost::system::error_code) { m_Node.finish(); });
+  m_Node.finishSoon();
 }
 
 } // namespace psp::history
--- a/src/node/NodeRuntime.cpp
+++ b/src/node/NodeRuntime.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/// Time for the last messages of a stopping process to leave: several round
+/// trips between data centres.
+constexpr base::Duration StopDelay = base::milliseconds(300);
 /// How often control nodes tell others the whole directory.
 constexpr base::Duration DirectoryInterval = base::seconds(3);
 /// Nodes that no control node lists any more are forgotten after this long.
@@ -39,7 +42,8 @@
                  [this](const NodeState &Peer, const std::string &Reason) {
                    onDown(Peer, Reason);
                  }}),
-      m_Signals(m_Io), m_SettingsTimer(m_Io), m_DirectoryTimer(m_Io) {}
+      m_Signals(m_Io), m_SettingsTimer(m_Io), m_DirectoryTimer(m_Io),
+      m_StopTimer(m_Io) {}
 
 void NodeRuntime::start(const std::string &Member, Handlers Handle) {
   m_Handle = std::move(Handle);
@@ -80,6 +84,11 @@
   m_Io.stop();
 }
 
+void NodeRuntime::finishSoon() {
+  m_StopTimer.expires_after(StopDelay);
+  m_StopTimer.async_wait([this](boost::system::error_code) { finish(); });
+}
+
 void NodeRuntime::announceStop() {
   m_Self.set_stopping(true);
   m_Self.set_revision(m_Self.revision() + 1);
--- a/src/node/NodeRuntime.h
+++ b/src/node/NodeRuntime.h
@@ -57,6 +57,8 @@
   void run() { m_Io.run(); }
   /// Ends run().
   void finish();
+  /// Ends run() when the last messages have had time to leave.
+  void finishSoon();
   /// Tells others that this node is going to stop.
   void announceStop();
 
@@ -96,6 +98,7 @@
   boost::asio::signal_set m_Signals;
   boost::asio::steady_timer m_SettingsTimer;
   boost::asio::steady_timer m_DirectoryTimer;
+  boost::asio::steady_timer m_StopTimer;
   std::unique_ptr<web::HttpServer> m_MetricsServer;
 };
 
--- a/src/programs/coordinator/Main.cpp
+++ b/src/programs/coordinator/Main.cpp
@@ -21,20 +21,15 @@
 
 namespace {
 
-std::uint16_t port() { return static_cast<std::uint16_t>(FLAGS_metrics_port); }
-
-psp::platform::BootFile openSettings() {
-  return FLAGS_settings.empty() ? psp::platform::BootFile::fromEnvironment()
-                                : psp::platform::BootFile(FLAGS_settings);
-}
-
 void serve() {
-  const psp::platform::BootFile Source = openSettings();
+  const psp::platform::BootFile Source =
+      psp::platform::BootFile::open(FLAGS_settings);
   const psp::platform::ControlDialect Protocol;
   const psp::platform::ConfigurationFormat Format;
   psp::coordinator::Coordinator Process(
-      {.m_MetricsPort = port(), .m_PeerBindHost = FLAGS_peer_bind_host}, Source,
-      Protocol, Format);
+      {.m_MetricsPort = static_cast<std::uint16_t>(FLAGS_metrics_port),
+       .m_PeerBindHost = FLAGS_peer_bind_host},
+      Source, Protocol, Format);
   Process.run();
 }
 
--- a/src/programs/gateway/Main.cpp
+++ b/src/programs/gateway/Main.cpp
@@ -19,19 +19,14 @@
 
 namespace {
 
-std::uint16_t port() { return static_cast<std::uint16_t>(FLAGS_metrics_port); }
-
-psp::platform::BootFile openSettings() {
-  return FLAGS_settings.empty() ? psp::platform::BootFile::fromEnvironment()
-                                : psp::platform::BootFile(FLAGS_settings);
-}
-
 void serve() {
-  const psp::platform::BootFile Source = openSettings();
+  const psp::platform::BootFile Source =
+      psp::platform::BootFile::open(FLAGS_settings);
   const psp::platform::CallDialect Protocol;
   const psp::platform::ConfigurationFormat Format;
-  psp::gateway::Gateway Process({.m_MetricsPort = port()}, Source, Protocol,
-                                Format);
+  psp::gateway::Gateway Process(
+      {.m_MetricsPort = static_cast<std::uint16_t>(FLAGS_metrics_port)}, Source,
+      Protocol, Format);
   Process.run();
 }
 
--- a/src/programs/history/Main.cpp
+++ b/src/programs/history/Main.cpp
@@ -19,17 +19,12 @@
 
 namespace {
 
-std::uint16_t port() { return static_cast<std::uint16_t>(FLAGS_metrics_port); }
-
-psp::platform::BootFile openSettings() {
-  return FLAGS_settings.empty() ? psp::platform::BootFile::fromEnvironment()
-                                : psp::platform::BootFile(FLAGS_settings);
-}
-
 void serve() {
-  const psp::platform::BootFile Source = openSettings();
+  const psp::platform::BootFile Source =
+      psp::platform::BootFile::open(FLAGS_settings);
   psp::history::HistoryNode Process(
-      {.m_MetricsPort = port(), .m_PeerBindHost = FLAGS_peer_bind_host},
+      {.m_MetricsPort = static_cast<std::uint16_t>(FLAGS_metrics_port),
+       .m_PeerBindHost = FLAGS_peer_bind_host},
       Source);
   Process.run();
 }
