New programs that can still end in time begin before those that waited too long

Load pattern: a burst of 2.2 times and more. Programs that were turned away come back after 0.3 to 0.45 s and competed with fresh ones, so that most that began had lost the time they could spare, and ended late.

A program that has spent a fifth of its time on being turned away now begins only with 15 in 100 of the slots less in use. Test: TurnAdmissionTest replays it.

More are turned away for good, since places go to long programs, which can wait; that is the price.

--- a/src/turns/TurnAdmission.cpp
+++ b/src/turns/TurnAdmission.cpp
@@ -31,14 +31,42 @@
   // Without a known engine the entry instance finds out by itself.
   if (Now.m_Slots == 0)
     return Decision::Begin;
-  if (Asked.m_NewProgram)
-    return fits(Now, m_NewShare) ? Decision::Begin : Decision::Refuse;
+  if (Asked.m_NewProgram) {
+    const double Share =
+        m_NewShare - (hasSpentItsTime(Asked) ? m_Options.m_SpentMargin : 0);
+    if (fits(Now, Share))
+      return Decision::Begin;
+    remember(Asked);
+    return Decision::Refuse;
+  }
   if (m_Waiting.empty() && fits(Now, m_Options.m_LaterTurnShare))
     return Decision::Begin;
   m_Waiting.push_back(Asked);
   return Decision::Wait;
 }
 
+bool TurnAdmission::hasSpentItsTime(const Offer &Asked) const {
+  const auto &Begin = Asked.m_Request.begin();
+  const auto Found = m_TurnedAway.find(Begin.program());
+  if (Found == m_TurnedAway.end() || !Begin.has_program_left())
+    return false;
+  const double SpentMs = std::chrono::duration<double, std::milli>(
+                             Asked.m_ArrivedAt - Found->second)
+                             .count();
+  return SpentMs > m_Options.m_SpentShare * (SpentMs + Begin.program_left_ms());
+}
+
+void TurnAdmission::remember(const Offer &Refused) {
+  const base::TimePoint Now = Refused.m_ArrivedAt;
+  if (Now >= m_ForgetAt) {
+    m_ForgetAt = Now + m_Options.m_Memory;
+    std::erase_if(m_TurnedAway, [&](const auto &Row) {
+      return Now - Row.second > m_Options.m_Memory;
+    });
+  }
+  m_TurnedAway.try_emplace(Refused.m_Request.begin().program(), Now);
+}
+
 std::vector<TurnAdmission::Offer> TurnAdmission::takeReady(Load Now) {
   std::vector<Offer> Ready;
   while (!m_Waiting.empty() && fits(Now, m_Options.m_LaterTurnShare)) {
--- a/src/turns/TurnAdmission.h
+++ b/src/turns/TurnAdmission.h
@@ -8,6 +8,7 @@
 #include "generated/fleet.pb.h"
 
 #include <cstdint>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -28,6 +29,14 @@
   /// each below it: from most to least in a second of a few hundred turns.
   double m_ShareFall = 0.99;
   double m_ShareRise = 0.002;
+  /// A new program that has spent more than this share of its time on being
+  /// turned away hardly ends in time: callers allow 1.3 to 1.5 times the time
+  /// on idle engines, so about a quarter of it may be lost in all.
+  double m_SpentShare = 0.2;
+  /// Such programs begin only with this share of the slots less.
+  double m_SpentMargin = 0.15;
+  /// Programs that were turned away are remembered this long.
+  base::Duration m_Memory = base::seconds(8);
   /// Later turns begin while less than this share of the slots runs.
   double m_LaterTurnShare = 1.0;
   /// A later turn waits this long for a place before it is asked to come
@@ -42,7 +51,9 @@
 
 /// Load pattern: many programs come at once. Engines that take all of them slow
 /// every program, and none ends in time; so programs that have begun go on at
-/// full speed, and new ones are refused at once with a time to come back.
+/// full speed, and new ones are refused at once with a time to come back. Those
+/// that come back again and again would take the places of others that could
+/// still end in time, so that all end late: they come after these.
 class TurnAdmission {
 public:
   enum class Decision { Begin, Wait, Refuse };
@@ -84,10 +95,14 @@
 
 private:
   bool fits(const Load &Now, double Share) const;
+  bool hasSpentItsTime(const Offer &Asked) const;
+  void remember(const Offer &Refused);
 
   TurnAdmissionOptions m_Options;
   std::mt19937_64 m_Random;
   std::vector<Offer> m_Waiting;
+  std::map<std::string, base::TimePoint> m_TurnedAway; ///< When first.
+  base::TimePoint m_ForgetAt;
   double m_NewShare;
   double m_GapUs = 0;     ///< Smoothed.
   double m_BestGapUs = 0; ///< The least, which slowly forgets.
--- a/tests/correctness/TurnAdmissionTest.cpp
+++ b/tests/correctness/TurnAdmissionTest.cpp
@@ -43,6 +43,36 @@
   }
 }
 
+/// Replays a burst: a short program and a long one are turned away and come
+/// back, while fresh ones go on coming.
+TEST(TurnAdmissionTest, NewProgramsThatCanStillEndInTimeBeginFirst) {
+  TurnAdmission Admission({.m_MostNewShare = 0.6});
+  const base::TimePoint Start{base::seconds(1)};
+  const auto Offered = [](const std::string &Program, std::uint32_t LeftMs,
+                          base::TimePoint At) {
+    auto Asked = offer(Program + "-turn", true, LeftMs, At);
+    Asked.m_Request.mutable_begin()->set_program(Program);
+    return Asked;
+  };
+  EXPECT_EQ(Admission.decide(Offered("short", 1900, Start), {60, 100}),
+            Decision::Refuse);
+  EXPECT_EQ(Admission.decide(Offered("long", 6000, Start), {60, 100}),
+            Decision::Refuse);
+  const base::TimePoint Back = Start + milliseconds(600);
+  EXPECT_EQ(Admission.decide(Offered("short", 1300, Back), {59, 100}),
+            Decision::Refuse);
+  EXPECT_EQ(Admission.decide(Offered("long", 5400, Back), {59, 100}),
+            Decision::Begin);
+  EXPECT_EQ(Admission.decide(Offered("fresh", 1900, Back), {59, 100}),
+            Decision::Begin);
+  {
+    SCOPED_TRACE("when the burst is over the late one begins as well");
+    EXPECT_EQ(Admission.decide(Offered("short", 900, Back + milliseconds(400)),
+                               {44, 100}),
+              Decision::Begin);
+  }
+}
+
 TEST(TurnAdmissionTest, PlacesGoToProgramsThatCanStillEndInTime) {
   TurnAdmission Admission({});
   EXPECT_EQ(Admission.decide(offer("late", false, 0), {100, 100}),
