An instance that isn't ready lets go of its callers, and isn't ready sooner

The instance noticed after 0.85 s that no leader answered, just above one probe of the balancer.

Refusals while it isn't ready now end the connection, and two silent probes of the leader (0.57 s) are enough instead of three. Test: the soak takes all of history away and asks each entry instance (broken before, ok after).

Ruled out: a shorter wait for the leader in a call; the caller can't get elsewhere before the balancer has moved.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -232,6 +232,10 @@
        {"previous_turn", m_Facts.m_PreviousTurn},
        {"runs", m_Runs},
        {"age_us", static_cast<std::uint64_t>((now() - m_Arrived).count())}});
+  // A caller that keeps its connection stays with this instance; a new one
+  // leads to where the balancer sends callers now.
+  if (!m_Owner.isReady())
+    m_KeepAlive = false;
   Response Answer = m_Owner.protocol().makeRefusal(m_Facts, Reason);
   Answer.keep_alive(m_KeepAlive);
   Answer.prepare_payload();
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -55,7 +55,7 @@
   base::Duration m_ProbeSpread = base::milliseconds(12);
   /// An instance isn't ready when the leader has been silent for this many
   /// times as long.
-  int m_ReadyProbes = 3;
+  int m_ReadyProbes = 2;
   /// A stopping instance takes calls at least this long, until the balancer
   /// has noticed.
   base::Duration m_StopLinger = base::milliseconds(3000);
@@ -95,6 +95,8 @@
   EndpointPool &pool() { return m_Pool; }
   RateShares &rates() { return m_Rates; }
   KnownPrograms &programs() { return m_Programs; }
+  /// Whether the balancer should send callers here.
+  bool isReady() const;
   bool isStopping() const { return m_StoppingSince.has_value(); }
   double draw();
 
@@ -118,7 +120,6 @@
   boost::asio::awaitable<void> accept();
   boost::asio::awaitable<void> record(messages::fleet::EndTurn End);
   void housekeeping();
-  bool isReady() const;
   void probeLeader();
   base::Duration probeInterval() const;
   std::string pickNode(messages::fleet::NodeKind Kind);
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,7 +22,7 @@
 import sys
 import tempfile
 
-from soak_fleet import CALLER_PORT, CONTROL_PORT, ENDPOINT_PORT, Fleet, http, now
+from soak_fleet import CALLER_PORT, CONTROL_PORT, ENDPOINT_PORT, READY_PORT, Fleet, http, now
 
 CASES = pathlib.Path(__file__).with_name("regressions.txt")
 HOST, KEY, TOKENS_PER_EVENT = "soak.example", "soak-key", 4
@@ -147,9 +147,9 @@
                 self.fail(f"read version {json.loads(answer[2])['version']} after {least} was acknowledged")
             await asyncio.sleep(self.random.uniform(0.5, 2))
 
-    async def call(self, path, extra=(), body=b"", once=False):
+    async def call(self, path, extra=(), body=b"", once=False, node=None):
         request = self.new_id() + ("a" if once else "b")
-        node = self.random.choice(self.fleet.of("entry"))
+        node = node or self.random.choice(self.fleet.of("entry"))
         headers = [("Host", HOST), ("Request-Id", request), ("X-Api-Key", KEY), ("Deadline-Remaining", "3000"), *extra]
         answer = await http(node.host, CALLER_PORT, "POST" if body else "GET", path, headers, body)
         if answer and answer[0] in PROMISES + (402,):
@@ -193,6 +193,23 @@
                     chain, previous = chain + body + b"".join(texts), request
                 await asyncio.sleep(0.03)
 
+    async def check_unready(self):
+        """Without any history, an instance isn't ready, and lets go of callers who would stay with it."""
+        for node in self.fleet.of("history"):
+            node.stop_now()
+        await asyncio.sleep(2)
+        for node in self.fleet.of("entry"):
+            _, answer = await self.call("/turn/x", [("Program-Id", self.new_id()), ("Token-Budget", "99"),
+                                                    ("Token-Counts", "1,12")], b"in", once=True, node=node)
+            ready = await http(node.host, READY_PORT, "GET", "/pistachiospool/readiness", timeout=1)
+            if not answer or answer[0] != 503 or not ready or ready[0] != 503:
+                self.fail(f"{node.name} serves turns without history, or doesn't answer")
+            elif answer[1].get("connection", "").lower() != "close":
+                self.fail(f"{node.name} isn't ready and keeps a caller that it turned away")
+        for node in self.fleet.of("history"):
+            node.start()
+        await asyncio.sleep(2)
+
     async def disturb(self):
         """Series of faults that overlap; of the nodes with a disk one at a time loses it."""
         while not self.over:
@@ -260,6 +277,7 @@
                 await endpoint.start()
             tasks = [asyncio.ensure_future(self.operate())]
             await asyncio.sleep(4)
+            await self.check_unready()
             tasks += [asyncio.ensure_future(self.plain()) for _ in range(3)]
             tasks += [asyncio.ensure_future(self.program()) for _ in range(4)]
             disturbing = asyncio.ensure_future(self.disturb())
