A hand-over that failed is tried again at the leader's next look at its members

Cause (found in reading): since a leader that hands over takes nothing for 150 ms, one whose successor can't be elected would have tried at every timer and taken nothing at all; before it only sent a message in vain.

The pause between looks (400 ms) now comes first.

--- a/src/link/GroupHost.cpp
+++ b/src/link/GroupHost.cpp
@@ -167,11 +167,12 @@
   const base::Now Now = base::readClocks();
   if (!m_Group.isSettledLeader() || Now.m_Monotonic < m_PlanAt)
     return;
+  // Also after a hand-over that failed: the leader takes commands in between.
+  m_PlanAt = Now.m_Monotonic + m_Options.m_PlanInterval;
   if (leaderIsRetiring() || m_Group.wantsHandOver()) {
     m_Group.handOver(Now);
     return;
   }
-  m_PlanAt = Now.m_Monotonic + m_Options.m_PlanInterval;
   const consensus::MembershipPlanInput Input = planInput(Now.m_Monotonic);
   m_Group.setLearners(consensus::planLearners(Input, LearnersKept));
   const auto Next = consensus::planMembership(Input);
