Call::sendTo in two: the send, and the answer

Connecting and sending stay, waiting for the answer is takeAnswer(), the line in the log is logSend(). The histogram of first bytes takes the difference of the two times that the log shows.

--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -20,6 +20,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace psp::gateway {
@@ -46,6 +47,14 @@
 private:
   using TimePoint = base::TimePoint;
 
+  /// One try of the call at one endpoint.
+  struct SendRecord {
+    std::string m_Endpoint;
+    TimePoint m_SentAt;
+    TimePoint m_AnsweredAt;
+    unsigned m_Status = 0; ///< Zero without an answer.
+  };
+
   // Checks, in Call.cpp.
   boost::asio::awaitable<void> handle();
   std::optional<Refusal> checkRoute();
@@ -57,6 +66,9 @@
   boost::asio::awaitable<void> sendToEndpoints();
   boost::asio::awaitable<SendOutcome>
   sendTo(const fleet::EndpointState &Endpoint);
+  boost::asio::awaitable<SendOutcome>
+  takeAnswer(std::unique_ptr<EndpointChannel> Channel, SendRecord Record);
+  void logSend(const SendRecord &Record, std::string_view Outcome);
   boost::asio::awaitable<bool> readOwnHead(EndpointChannel &Channel,
                                            AnswerFacts &Facts);
   boost::asio::awaitable<SendOutcome> passWhole(EndpointChannel &Channel);
@@ -67,6 +79,7 @@
   bool mayRepeat() const;
   /// Ends the wait for \p Endpoint when that is out of reach.
   void watchSilence(const std::string &Endpoint);
+  void endSilenceWatch();
 
   // Turns.
   messages::fleet::EndTurn makeEnd(bool Whole) const;
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -148,10 +148,13 @@
   std::unique_ptr<EndpointChannel> Channel =
       m_Owner.pool().take(Endpoint.address());
   m_Abort = [Raw = Channel.get()] { Raw->abort(); };
-  struct ClearAbort {
-    std::function<void()> &m_Target;
-    ~ClearAbort() { m_Target = nullptr; }
-  } Clear{m_Abort};
+  struct EndOfTry {
+    Call &m_Target;
+    ~EndOfTry() {
+      m_Target.m_Abort = nullptr;
+      m_Target.endSilenceWatch();
+    }
+  } EndsTry{*this};
   if (!Channel->isOpen() &&
       !co_await Channel->connect(
           std::min(m_Owner.options().m_ConnectLimit, timeLeft()))) {
@@ -168,8 +171,9 @@
       m_EarlierTurns.empty()
           ? std::nullopt
           : std::optional(m_EarlierTurns + m_Received.body()));
-  const std::uint64_t SentAtUs =
-      static_cast<std::uint64_t>((now() - m_Arrived).count());
+  SendRecord Record;
+  Record.m_Endpoint = Id;
+  Record.m_SentAt = now();
   if (!co_await Channel->send(Out)) {
     // Not written as a whole, so there is nothing that could have run.
     Placement.onFailed(Id);
@@ -178,51 +182,32 @@
   ++m_Runs;
   if (m_IsTurn)
     watchSilence(Id);
-  struct EndWatch {
-    Call &m_Target;
-    ~EndWatch() {
-      m_Target.m_Watch.reset();
-      m_Target.m_WatchTimer.cancel();
-    }
-  } WatchEnds{*this};
+  co_return co_await takeAnswer(std::move(Channel), std::move(Record));
+}
+
+/// Waits for the endpoint's answer and passes it on if it is one to this call.
+asio::awaitable<SendOutcome>
+Call::takeAnswer(std::unique_ptr<EndpointChannel> Channel, SendRecord Record) {
+  const std::string &Id = Record.m_Endpoint;
+  ServicePlacement &Placement = m_Owner.placement();
   AnswerFacts Facts;
   const bool HasHead = co_await readOwnHead(*Channel, Facts);
-  if (HasHead)
-    Placement.onHeard(Id, now());
-  const unsigned Status = HasHead ? Channel->head().result_int() : 0;
-  const std::uint64_t AnsweredAtUs =
-      static_cast<std::uint64_t>((now() - m_Arrived).count());
-  if (HasHead)
-    m_Owner.node()
-        .metrics()
-        .histogram(metrics::names::FirstByteLatency)
-        .record(now() - m_Arrived - base::Duration(SentAtUs));
-  const auto Report = [&](std::string_view Outcome) {
-    m_Owner.node().log().write(
-        "request_sent",
-        {{"request", m_Facts.m_Id},
-         {"route", m_Route->m_Name},
-         {"endpoint", Id},
-         {"placed_by", Id == m_PlacedOn ? "history" : "instance"},
-         {"try", m_Runs},
-         {"attempts", m_Route->m_Attempts},
-         {"sent_us", SentAtUs},
-         {"answered_us", AnsweredAtUs},
-         {"done_us", static_cast<std::uint64_t>((now() - m_Arrived).count())},
-         {"tokens", m_Tokens},
-         {"event_gap_us", m_EventGapUs},
-         {"status", Status},
-         {"outcome", Outcome}});
-  };
+  Record.m_AnsweredAt = now();
   if (!HasHead) {
-    Report(isOver() ? "ended" : "no_answer");
+    logSend(Record, isOver() ? "ended" : "no_answer");
     if (isOver())
       co_return SendOutcome::Ended;
     Placement.onFailed(Id);
     co_return SendOutcome::Unknown;
   }
+  Placement.onHeard(Id, Record.m_AnsweredAt);
+  Record.m_Status = Channel->head().result_int();
+  m_Owner.node()
+      .metrics()
+      .histogram(metrics::names::FirstByteLatency)
+      .record(Record.m_AnsweredAt - Record.m_SentAt);
   if (Facts.m_NotRun || Facts.m_WrongEndpoint) {
-    Report(Facts.m_WrongEndpoint ? "wrong_endpoint" : "not_run");
+    logSend(Record, Facts.m_WrongEndpoint ? "wrong_endpoint" : "not_run");
     --m_Runs;
     if (Facts.m_WrongEndpoint)
       m_Owner.endpoints().markGone(Id, now());
@@ -230,16 +215,17 @@
       Placement.onFull(Id, now());
     co_return SendOutcome::NotRun;
   }
-  const bool Success = Status >= 200 && Status < 300;
-  const bool Unusable = (Success && !Facts.m_Signed) || isPromise(Status);
-  if (Unusable || (Status >= 500 && mayRepeat())) {
-    Report(Unusable ? "unusable" : "failed");
+  const bool Success = Record.m_Status >= 200 && Record.m_Status < 300;
+  const bool Unusable =
+      (Success && !Facts.m_Signed) || isPromise(Record.m_Status);
+  if (Unusable || (Record.m_Status >= 500 && mayRepeat())) {
+    logSend(Record, Unusable ? "unusable" : "failed");
     co_return SendOutcome::Unknown;
   }
   const bool Streams = m_Route->m_Kind == fleet::CallKind::Stream && Success;
   const SendOutcome Outcome =
       Streams ? co_await passStream(*Channel) : co_await passWhole(*Channel);
-  Report(outcomeName(Outcome));
+  logSend(Record, outcomeName(Outcome));
   if (Channel->canBeKept())
     m_Owner.pool().keep(std::move(Channel), Facts.m_IdleTimeout);
   if (Outcome == SendOutcome::Unknown || Outcome == SendOutcome::Broken)
@@ -247,6 +233,27 @@
   co_return Outcome;
 }
 
+void Call::logSend(const SendRecord &Record, std::string_view Outcome) {
+  const auto SinceArrival = [this](TimePoint At) {
+    return static_cast<std::uint64_t>((At - m_Arrived).count());
+  };
+  const bool ByHistory = Record.m_Endpoint == m_PlacedOn;
+  m_Owner.node().log().write(
+      "request_sent", {{"request", m_Facts.m_Id},
+                       {"route", m_Route->m_Name},
+                       {"endpoint", Record.m_Endpoint},
+                       {"placed_by", ByHistory ? "history" : "instance"},
+                       {"try", m_Runs},
+                       {"attempts", m_Route->m_Attempts},
+                       {"sent_us", SinceArrival(Record.m_SentAt)},
+                       {"answered_us", SinceArrival(Record.m_AnsweredAt)},
+                       {"done_us", SinceArrival(now())},
+                       {"tokens", m_Tokens},
+                       {"event_gap_us", m_EventGapUs},
+                       {"status", Record.m_Status},
+                       {"outcome", Outcome}});
+}
+
 void Call::watchSilence(const std::string &Endpoint) {
   if (!m_Watch)
     m_Watch.emplace(now());
@@ -275,6 +282,11 @@
   });
 }
 
+void Call::endSilenceWatch() {
+  m_Watch.reset();
+  m_WatchTimer.cancel();
+}
+
 /// Reads answers until the one to this request; others are late copies.
 asio::awaitable<bool> Call::readOwnHead(EndpointChannel &Channel,
                                         AnswerFacts &Facts) {
@@ -345,7 +357,7 @@
     if (!Passed)
       co_return SendOutcome::Broken;
   }
-  m_Watch.reset();
+  endSilenceWatch();
   if (FirstAt && Events.eventCount() > 1)
     m_EventGapUs = static_cast<std::uint32_t>(
         (LastAt - *FirstAt).count() /
