--- a/src/base/Time.h
+++ b/src/base/Time.h
@@ -31,6 +31,14 @@
 
 /// Reads both clocks of this machine.
 Now readClocks();
+/// Reads the monotonic one only.
+TimePoint readMonotonic();
+
+/// For fields of messages that count milliseconds.
+constexpr std::uint64_t wholeMilliseconds(Duration Length) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(Length).count());
+}
 
 } // namespace psp::base
 
--- a/src/control/LearnerFeed.cpp
+++ b/src/control/LearnerFeed.cpp
@@ -50,8 +50,7 @@
   messages::LearnerPush &Push = *Envelope.mutable_log()->mutable_learner_push();
   Push.set_commit_index(State.appliedIndex());
   Push.set_digest(base::toBytes(State.digest()));
-  Push.set_age_ms(static_cast<std::uint64_t>(
-      std::chrono::duration_cast<base::milliseconds>(Age).count()));
+  Push.set_age_ms(base::wholeMilliseconds(Age));
   Push.set_hello_sent_us(Learner.m_HelloSent);
   Learner.m_LastPush = Now;
   if (NeedsSnapshot) {
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -99,7 +99,7 @@
 }
 
 void Coordinator::onMessage(const NodeState &From, LinkMessage &Message) {
-  const base::TimePoint Now = readClocks().m_Monotonic;
+  const base::TimePoint Now = base::readMonotonic();
   if (Message.has_group()) {
     m_Group->onMessage(Message.group());
   } else if (Message.has_endpoints()) {
@@ -158,7 +158,7 @@
       if (Each.m_Name == Asked.tokens().organisation())
         Answer.set_count(m_Tokens.take(Each, Asked.tokens().count(),
                                        Asked.tokens().new_program(),
-                                       readClocks().m_Monotonic));
+                                       base::readMonotonic()));
     if (Answer.count() > 0)
       Answer.set_kind(messages::fleet::REPLY_OK);
     co_return Answer;
@@ -214,7 +214,7 @@
   const consensus::Group &Members = m_Group->group();
   if (m_WaitTerm != Members.term()) {
     m_WaitTerm = Members.term();
-    m_Tokens.reset(readClocks().m_Monotonic);
+    m_Tokens.reset(base::readMonotonic());
     for (const auto &[Index, Waiting] : m_CommitWaiters)
       Waiting->fire(false);
     for (const auto &[Ticket, Waiting] : m_ReadWaiters)
@@ -269,7 +269,7 @@
                             .m_DataCentre = Each.data_centre(),
                             .m_Reachable = true});
   const std::size_t Target = 2 * m_Node.settings().m_ToleratedLosses + 1;
-  const base::TimePoint Now = readClocks().m_Monotonic;
+  const base::TimePoint Now = base::readMonotonic();
   if (Candidates.size() < Target) {
     m_EnoughHistoryAt.reset();
     return;
@@ -288,9 +288,7 @@
 
 /// Whether what this node is told reaches the entry instances.
 bool Coordinator::isInContact() {
-  std::size_t Entries = 0;
-  for (const NodeState &Each : m_Node.nodes().ofKind(NODE_ENTRY))
-    Entries += m_Node.hub().isUp(Each.name()) ? 1 : 0;
+  const std::size_t Entries = m_Node.reachedNodes(NODE_ENTRY);
   return !m_Group->leaderNode().empty() ||
          (Entries > 0 && Entries * 2 >= m_MostEntries);
 }
@@ -317,15 +315,13 @@
 }
 
 void Coordinator::housekeeping() {
-  const base::TimePoint Now = readClocks().m_Monotonic;
+  const base::TimePoint Now = base::readMonotonic();
   const std::vector<EndpointState> Silent = m_Endpoints.expire(Now);
   // A node that is cut off itself can't tell who is silent.
   if (!m_Group->leaderNode().empty())
     for (const EndpointState &Each : Silent)
       spread(Each);
-  std::size_t Entries = 0;
-  for (const NodeState &Each : m_Node.nodes().ofKind(NODE_ENTRY))
-    Entries += m_Node.hub().isUp(Each.name()) ? 1 : 0;
+  const std::size_t Entries = m_Node.reachedNodes(NODE_ENTRY);
   if (Entries > m_MostEntries) {
     m_MostEntries = Entries;
     if (m_Group->group().isCurrent())
@@ -340,11 +336,10 @@
 }
 
 void Coordinator::stop() {
-  if (std::exchange(m_Stopping, true))
+  if (m_Node.isStopping())
     return;
-  m_Node.announceStop();
-  m_Group->handOver();
   m_Node.finishSoon();
+  m_Group->handOver();
 }
 
 } // namespace psp::coordinator
--- a/src/coordinator/Coordinator.h
+++ b/src/coordinator/Coordinator.h
@@ -101,7 +101,6 @@
   messages::fleet::EndpointUpdate m_BeatsForPeers;
   boost::asio::steady_timer m_BeatTimer;
   boost::asio::steady_timer m_HouseTimer;
-  bool m_Stopping = false;
 };
 
 } // namespace psp::coordinator
--- a/src/coordinator/CoordinatorCalls.cpp
+++ b/src/coordinator/CoordinatorCalls.cpp
@@ -57,11 +57,11 @@
 }
 
 ControlAnswer Coordinator::announce(const AnnounceCall &Call) {
-  if (m_Stopping || !isInContact())
+  if (m_Node.isStopping() || !isInContact())
     return Failed(ErrorKind::QuorumUnavailable,
                   "this node is cut off or stopping");
   m_Node.metrics().counter(metrics::names::Announcements).add();
-  if (m_Endpoints.merge(Call.m_State, true, readClocks().m_Monotonic))
+  if (m_Endpoints.merge(Call.m_State, true, base::readMonotonic()))
     spread(Call.m_State);
   if (m_BeatsForPeers.endpoints_size() == 0) {
     m_BeatTimer.expires_after(BeatBatchInterval);
@@ -75,10 +75,10 @@
 }
 
 ControlAnswer Coordinator::leave(const LeaveCall &Call) {
-  if (m_Stopping || !isInContact())
+  if (m_Node.isStopping() || !isInContact())
     return Failed(ErrorKind::QuorumUnavailable,
                   "this node is cut off or stopping");
-  if (m_Endpoints.markGone(Call.m_Endpoint, readClocks().m_Monotonic))
+  if (m_Endpoints.markGone(Call.m_Endpoint, base::readMonotonic()))
     spread(*m_Endpoints.find(Call.m_Endpoint));
   return Done{};
 }
--- a/src/entry/Announcements.cpp
+++ b/src/entry/Announcements.cpp
@@ -83,8 +83,7 @@
   State.set_data_centre(text(Object, "data_centre"));
   State.set_address(text(Object, "address"));
   readServices(Object, State);
-  const auto Longest = static_cast<std::uint64_t>(
-      std::chrono::duration_cast<base::milliseconds>(LongestLease).count());
+  const auto Longest = base::wholeMilliseconds(LongestLease);
   const std::uint64_t Lease = number(Object, "lease_ms", Longest);
   State.set_remaining_ms(std::min(Lease, Longest));
   State.set_checks_fencing(flag(Object, "checks_fencing"));
--- a/src/entry/EntryReport.cpp
+++ b/src/entry/EntryReport.cpp
@@ -112,9 +112,8 @@
     State.set_running(Known.m_Running);
     State.set_waiting(Known.m_Waiting);
     State.set_checks_fencing(Known.m_ChecksFencing);
-    const auto Left = std::chrono::duration_cast<base::milliseconds>(
-        Known.m_LeaseEnd - Time.m_Monotonic);
-    State.set_remaining_ms(static_cast<std::uint64_t>(Left.count()));
+    State.set_remaining_ms(
+        base::wholeMilliseconds(Known.m_LeaseEnd - Time.m_Monotonic));
     States.push_back(std::move(State));
   }
   return States;
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Call.h"
 
 #include "gateway/Gateway.h"
+#include "gateway/RetryTime.h"
 #include "metrics/Names.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -22,26 +23,22 @@
 
 namespace {
 
-/// Time until a leader is elected, for callers that are told to come back.
-constexpr base::Duration ElectionRetry = base::milliseconds(600);
-/// Time until an endpoint has announced itself, or a place is free.
-constexpr base::Duration EndpointRetry = base::milliseconds(250);
+/// For a late copy of a turn that is over: until another leader may know more.
+constexpr base::Duration LateCopyRetry = base::milliseconds(600);
 constexpr base::Duration RateRetry = base::milliseconds(500);
 /// A call with less time than this can't be answered in time.
 constexpr base::Duration LeastTime = base::milliseconds(5);
 /// The leader of control is asked for tokens no longer than this.
 constexpr base::Duration RateWait = base::milliseconds(250);
 
-base::TimePoint now() { return base::readClocks().m_Monotonic; }
-
 } // namespace
 
 Call::Call(Gateway &Owner, tcp::socket &Caller, Request Received,
            bool KeepAlive)
     : m_Owner(Owner), m_Caller(Caller), m_Received(std::move(Received)),
       m_KeepAlive(KeepAlive), m_Facts(Owner.protocol().readCall(m_Received)),
-      m_Table(Owner.table()), m_Arrived(now()), m_Deadline(m_Arrived),
-      m_Timer(Owner.io()), m_WatchTimer(Owner.io()) {}
+      m_Table(Owner.table()), m_Arrived(base::readMonotonic()),
+      m_Deadline(m_Arrived), m_Timer(Owner.io()), m_WatchTimer(Owner.io()) {}
 
 asio::awaitable<bool> Call::run() {
   co_await handle();
@@ -57,7 +54,7 @@
       .histogram(metrics::names::CallLatency,
                  {{metrics::names::OrganisationLabel, organisationName()},
                   {metrics::names::ServiceLabel, m_Service}})
-      .record(now() - m_Arrived);
+      .record(base::readMonotonic() - m_Arrived);
   m_Timer.cancel();
   if (m_TurnOpen)
     settleTurn(false);
@@ -94,7 +91,7 @@
     co_return;
   }
   if (!m_Facts.m_Program.empty())
-    m_Owner.programs().note(m_Facts.m_Program, now());
+    m_Owner.programs().note(m_Facts.m_Program, base::readMonotonic());
   m_IsTurn = m_Route->m_Kind == fleet::CallKind::Stream &&
              m_Facts.m_TokenBudget.has_value();
   if (m_IsTurn) {
@@ -130,7 +127,8 @@
   const bool NewProgram = m_Facts.m_TokenBudget &&
                           m_Facts.m_PreviousTurn.empty() &&
                           !m_Owner.programs().isKnown(m_Facts.m_Program);
-  if (Rates.take(*m_Organisation, NewProgram, now()) == RateDecision::Pass)
+  if (Rates.take(*m_Organisation, NewProgram, base::readMonotonic()) ==
+      RateDecision::Pass)
     co_return true;
   messages::fleet::Request Asked;
   Asked.mutable_tokens()->set_organisation(m_Organisation->m_Name);
@@ -143,7 +141,7 @@
     co_return false;
   // The one for this call is used up at once.
   if (Answer->count() > 1)
-    Rates.grant(*m_Organisation, Answer->count() - 1, now());
+    Rates.grant(*m_Organisation, Answer->count() - 1, base::readMonotonic());
   co_return true;
 }
 
@@ -158,28 +156,25 @@
   Begin.set_most(m_Facts.m_MostTokens);
   if (m_Route->m_KeepsTurns)
     Begin.set_previous(m_Facts.m_PreviousTurn);
-  Begin.set_retention_ms(static_cast<std::uint64_t>(
-      std::chrono::duration_cast<base::milliseconds>(m_Route->m_Retention)
-          .count()));
+  Begin.set_retention_ms(base::wholeMilliseconds(m_Route->m_Retention));
   Begin.set_service(m_Service);
-  Begin.set_wants_endpoint(true);
   Begin.set_prompt_prefix(m_Facts.m_PromptPrefix);
   if (m_Facts.m_ProgramTimeLeft) {
     Begin.set_has_program_left(true);
     Begin.set_program_left_ms(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<base::milliseconds>(
-            *m_Facts.m_ProgramTimeLeft)
-            .count()));
+        base::wholeMilliseconds(*m_Facts.m_ProgramTimeLeft)));
   }
   m_TurnOpen = true;
   std::optional<Reply> Answer;
-  const TimePoint Until = now() + std::min(m_Owner.leaderWait(), timeLeft());
+  const TimePoint Until =
+      base::readMonotonic() + std::min(m_Owner.leaderWait(), timeLeft());
   // Without a time to come back the leader means: wait on, in its queue.
   do {
     Answer = co_await m_Owner.askLeader(messages::fleet::NODE_HISTORY, Asked,
-                                        Until - now());
+                                        Until - base::readMonotonic());
   } while (Answer && Answer->kind() == messages::fleet::REPLY_BUSY &&
-           Answer->wait_ms() == 0 && !isOver() && now() < Until);
+           Answer->wait_ms() == 0 && !isOver() &&
+           base::readMonotonic() < Until);
   if (!Answer || Answer->kind() == messages::fleet::REPLY_UNAVAILABLE)
     co_return Refusal(ErrorKind::QuorumUnavailable,
                       "no leader of history answered",
@@ -188,7 +183,7 @@
     m_Owner.node()
         .metrics()
         .histogram(metrics::names::BeginLatency)
-        .record(now() - m_Arrived);
+        .record(base::readMonotonic() - m_Arrived);
     m_EarlierTurns = Answer->text();
     m_PlacedOn = Answer->endpoint();
     co_return std::nullopt;
@@ -207,7 +202,7 @@
     co_return Refusal(ErrorKind::NotFound,
                       "the organisation has no such earlier turn");
   co_return Refusal(ErrorKind::QuorumUnavailable,
-                    "the turn was begun and ended before", ElectionRetry);
+                    "the turn was begun and ended before", LateCopyRetry);
 }
 
 asio::awaitable<void> Call::refuse(Refusal Reason) {
@@ -231,7 +226,8 @@
        {"configuration", m_Table ? m_Table->configuration().m_Version : 0},
        {"previous_turn", m_Facts.m_PreviousTurn},
        {"runs", m_Runs},
-       {"age_us", static_cast<std::uint64_t>((now() - m_Arrived).count())}});
+       {"age_us", static_cast<std::uint64_t>(
+                      (base::readMonotonic() - m_Arrived).count())}});
   // A caller that keeps its connection stays with this instance; a new one
   // leads to where the balancer sends callers now.
   if (!m_Owner.isReady())
@@ -255,9 +251,7 @@
   End.set_event_gap_us(m_EventGapUs);
   for (const std::string &Each : m_Silent)
     *End.add_silent() = Each;
-  End.set_retention_ms(static_cast<std::uint64_t>(
-      std::chrono::duration_cast<base::milliseconds>(m_Route->m_Retention)
-          .count()));
+  End.set_retention_ms(base::wholeMilliseconds(m_Route->m_Retention));
   if (Whole && m_Route->m_KeepsTurns) {
     End.set_keep(true);
     End.set_previous(m_Facts.m_PreviousTurn);
@@ -332,7 +326,7 @@
 
 base::Duration Call::timeLeft() const {
   return std::max(base::Duration(0), std::chrono::duration_cast<base::Duration>(
-                                         m_Deadline - now()));
+                                         m_Deadline - base::readMonotonic()));
 }
 
 } // namespace psp::gateway
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Call.h"
 
 #include "gateway/Gateway.h"
+#include "gateway/RetryTime.h"
 #include "metrics/Names.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -21,8 +22,6 @@
 
 namespace {
 
-/// Time until an endpoint has announced itself, or a place is free.
-constexpr base::Duration EndpointRetry = base::milliseconds(250);
 /// Longest answer that is collected before it is passed on, in bytes.
 constexpr std::size_t WholeAnswerBytes = 8U << 20U;
 /// Answers to other requests that are skipped on one connection.
@@ -30,8 +29,6 @@
 /// Statuses that promise that a request hasn't run.
 constexpr std::array<unsigned, 4> PromiseStatuses = {408, 421, 429, 503};
 
-base::TimePoint now() { return base::readClocks().m_Monotonic; }
-
 bool isPromise(unsigned Status) {
   return std::ranges::find(PromiseStatuses, Status) != PromiseStatuses.end();
 }
@@ -85,8 +82,9 @@
   for (std::uint32_t Try = 0; Try < m_Owner.options().m_MostTries; ++Try) {
     if (isOver())
       break;
-    const fleet::EndpointState *Chosen = Placement.place(
-        m_Service, m_PlacedOn, Excluded, m_Owner.endpoints(), now());
+    const fleet::EndpointState *Chosen =
+        Placement.place(m_Service, m_PlacedOn, Excluded, m_Owner.endpoints(),
+                        base::readMonotonic());
     if (!Chosen)
       break;
     AnyFound = true;
@@ -94,11 +92,13 @@
     const fleet::EndpointState Endpoint = *Chosen;
     const std::string &Id = Endpoint.id();
     Placement.onSent(Id);
-    const TimePoint Start = now();
+    const TimePoint Start = base::readMonotonic();
     m_RanOn = Id;
     const SendOutcome Outcome = co_await sendTo(Endpoint);
     const bool Success = Outcome == SendOutcome::Answered;
-    Placement.onDone(Id, Success ? now() - Start : base::Duration(0), now());
+    Placement.onDone(
+        Id, Success ? base::readMonotonic() - Start : base::Duration(0),
+        base::readMonotonic());
     Excluded.insert(Id);
     if (Outcome == SendOutcome::Answered)
       co_return;
@@ -158,7 +158,7 @@
   if (!Channel->isOpen() &&
       !co_await Channel->connect(
           std::min(m_Owner.options().m_ConnectLimit, timeLeft()))) {
-    Placement.onUnreachable(Id, now());
+    Placement.onUnreachable(Id, base::readMonotonic());
     m_Silent.push_back(Id);
     co_return isOver() ? SendOutcome::Ended : SendOutcome::NotRun;
   }
@@ -173,7 +173,7 @@
           : std::optional(m_EarlierTurns + m_Received.body()));
   SendRecord Record;
   Record.m_Endpoint = Id;
-  Record.m_SentAt = now();
+  Record.m_SentAt = base::readMonotonic();
   if (!co_await Channel->send(Out)) {
     // Not written as a whole, so there is nothing that could have run.
     Placement.onFailed(Id);
@@ -192,7 +192,7 @@
   ServicePlacement &Placement = m_Owner.placement();
   AnswerFacts Facts;
   const bool HasHead = co_await readOwnHead(*Channel, Facts);
-  Record.m_AnsweredAt = now();
+  Record.m_AnsweredAt = base::readMonotonic();
   if (!HasHead) {
     logSend(Record, isOver() ? "ended" : "no_answer");
     if (isOver())
@@ -210,9 +210,9 @@
     logSend(Record, Facts.m_WrongEndpoint ? "wrong_endpoint" : "not_run");
     --m_Runs;
     if (Facts.m_WrongEndpoint)
-      m_Owner.endpoints().markGone(Id, now());
+      m_Owner.endpoints().markGone(Id, base::readMonotonic());
     else
-      Placement.onFull(Id, now());
+      Placement.onFull(Id, base::readMonotonic());
     co_return SendOutcome::NotRun;
   }
   const bool Success = Record.m_Status >= 200 && Record.m_Status < 300;
@@ -247,7 +247,7 @@
                        {"attempts", m_Route->m_Attempts},
                        {"sent_us", SinceArrival(Record.m_SentAt)},
                        {"answered_us", SinceArrival(Record.m_AnsweredAt)},
-                       {"done_us", SinceArrival(now())},
+                       {"done_us", SinceArrival(base::readMonotonic())},
                        {"tokens", m_Tokens},
                        {"event_gap_us", m_EventGapUs},
                        {"status", Record.m_Status},
@@ -256,7 +256,7 @@
 
 void Call::watchSilence(const std::string &Endpoint) {
   if (!m_Watch)
-    m_Watch.emplace(now());
+    m_Watch.emplace(base::readMonotonic());
   m_WatchTimer.expires_at(m_Watch->nextLook());
   m_WatchTimer.async_wait([Self = shared_from_this(),
                            Endpoint](boost::system::error_code Cancelled) {
@@ -265,18 +265,19 @@
     ServicePlacement &Placement = Self->m_Owner.placement();
     // A caller that takes its time keeps this instance from reading.
     if (Self->m_PassingOn)
-      Self->m_Watch->excuse(now());
+      Self->m_Watch->excuse(base::readMonotonic());
     const base::TimePoint HeardAt = Placement.heardAt(Endpoint);
-    if (!Self->m_Watch->look(HeardAt, now())) {
+    if (!Self->m_Watch->look(HeardAt, base::readMonotonic())) {
       Self->watchSilence(Endpoint);
       return;
     }
     Self->m_Owner.node().log().write(
-        "endpoint_silent", {{"request", Self->m_Facts.m_Id},
-                            {"endpoint", Endpoint},
-                            {"heard_us_ago", static_cast<std::uint64_t>(
-                                                 (now() - HeardAt).count())}});
-    Placement.onUnreachable(Endpoint, now());
+        "endpoint_silent",
+        {{"request", Self->m_Facts.m_Id},
+         {"endpoint", Endpoint},
+         {"heard_us_ago", static_cast<std::uint64_t>(
+                              (base::readMonotonic() - HeardAt).count())}});
+    Placement.onUnreachable(Endpoint, base::readMonotonic());
     Self->m_Silent.push_back(Endpoint);
     Self->abort();
   });
@@ -345,7 +346,7 @@
     const std::uint64_t Begun =
         Events.eventCount() + (Events.isBetweenEvents() ? 0 : 1);
     m_Tokens = Begun * TokensPerEvent;
-    LastAt = now();
+    LastAt = base::readMonotonic();
     m_Owner.placement().onHeard(m_RanOn, LastAt);
     if (!FirstAt)
       FirstAt = LastAt;
--- a/src/gateway/EndpointChannel.cpp
+++ b/src/gateway/EndpointChannel.cpp
@@ -41,8 +41,6 @@
   return tcp::endpoint(Host, Port);
 }
 
-base::TimePoint now() { return base::readClocks().m_Monotonic; }
-
 } // namespace
 
 EndpointChannel::EndpointChannel(asio::io_context &Io, std::string Address)
@@ -145,7 +143,8 @@
   while (Found != m_Idle.end() && !Found->second.empty()) {
     std::unique_ptr<EndpointChannel> Kept = std::move(Found->second.back());
     Found->second.pop_back();
-    if (now() - Kept->m_IdleSince < Kept->m_IdleLimit && Kept->isQuiet())
+    if (base::readMonotonic() - Kept->m_IdleSince < Kept->m_IdleLimit &&
+        Kept->isQuiet())
       return Kept;
   }
   return std::make_unique<EndpointChannel>(m_Io, Address);
@@ -159,13 +158,13 @@
   if (Limit <= base::Duration(0) ||
       Kept.size() >= m_Options.m_MostIdlePerEndpoint)
     return;
-  Channel->m_IdleSince = now();
+  Channel->m_IdleSince = base::readMonotonic();
   Channel->m_IdleLimit = Limit;
   Kept.push_back(std::move(Channel));
 }
 
 void EndpointPool::expire() {
-  const base::TimePoint Now = now();
+  const base::TimePoint Now = base::readMonotonic();
   for (auto &[Address, Kept] : m_Idle)
     std::erase_if(Kept, [Now](const std::unique_ptr<EndpointChannel> &Each) {
       return Now - Each->m_IdleSince >= Each->m_IdleLimit;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -33,8 +33,6 @@
 constexpr base::Duration ProgramMemory = base::seconds(30);
 constexpr base::Duration StopCheckInterval = base::milliseconds(100);
 
-base::TimePoint now() { return readClocks().m_Monotonic; }
-
 std::uint64_t seedOf(const std::string &Name) {
   return base::stableHash(Name + std::to_string(readClocks().m_Wall));
 }
@@ -60,7 +58,7 @@
       m_Random(seedOf(m_Node.settings().m_Name + "/draw")) {}
 
 void Gateway::run() {
-  m_StartedAt = now();
+  m_StartedAt = base::readMonotonic();
   const node::NodeSettings &Settings = m_Node.settings();
   m_Node.start(
       "", {.m_OnMessage = [this](const NodeState &,
@@ -107,7 +105,7 @@
     onConfiguration(Message.configuration());
   else if (Message.has_endpoints())
     for (const auto &Each : Message.endpoints().endpoints())
-      if (m_Endpoints.merge(Each, false, now()))
+      if (m_Endpoints.merge(Each, false, base::readMonotonic()))
         m_Node.log().write(
             "endpoint_changed",
             {{"endpoint", Each.id()},
@@ -157,20 +155,20 @@
 asio::awaitable<std::optional<Reply>>
 Gateway::askLeader(NodeKind Kind, messages::fleet::Request Asked,
                    base::Duration Limit) {
-  const base::TimePoint Until = now() + Limit;
+  const base::TimePoint Until = base::readMonotonic() + Limit;
   LeaderSearch &Search = searchFor(Kind);
-  while (now() < Until) {
-    const auto Entry = co_await Search.enter(Until - now());
+  while (base::readMonotonic() < Until) {
+    const auto Entry = co_await Search.enter(Until - base::readMonotonic());
     if (Entry == LeaderSearch::Entry::TimedOut)
       break;
     const std::string Node = pickNode(Kind);
-    auto Answer = co_await askNode(Node, Asked, Until - now());
+    auto Answer = co_await askNode(Node, Asked, Until - base::readMonotonic());
     const bool Led =
         Answer && Answer->kind() != messages::fleet::REPLY_NOT_LEADER;
     if (Led) {
       Search.found(Node);
       if (Kind == NODE_HISTORY)
-        m_LeaderAnsweredAt = now();
+        m_LeaderAnsweredAt = base::readMonotonic();
     } else {
       Search.lost(Node);
       const bool Hinted = Answer && Answer->leader() != Node;
@@ -209,18 +207,16 @@
 }
 
 base::Duration Gateway::leaderWait() const {
-  const bool Missing = now() - m_LeaderAnsweredAt > m_Options.m_LeaderWait;
+  const bool Missing =
+      base::readMonotonic() - m_LeaderAnsweredAt > m_Options.m_LeaderWait;
   return Missing ? m_Options.m_MissingLeaderWait : m_Options.m_LeaderWait;
 }
 
 base::Duration Gateway::retryWithoutLeader() {
-  LeaderOutlook Outlook;
-  Outlook.m_Uptime = now() - m_StartedAt;
-  for (const NodeState &Each : m_Node.nodes().ofKind(NODE_HISTORY)) {
-    ++Outlook.m_HistoryNodes;
-    Outlook.m_Reached += m_Node.hub().isUp(Each.name()) ? 1 : 0;
-  }
-  return gateway::retryWithoutLeader(Outlook);
+  return gateway::retryWithoutLeader(
+      {.m_Uptime = base::readMonotonic() - m_StartedAt,
+       .m_HistoryNodes = m_Node.nodes().ofKind(NODE_HISTORY).size(),
+       .m_Reached = m_Node.reachedNodes(NODE_HISTORY)});
 }
 
 void Gateway::recordLater(EndTurn End) {
@@ -244,7 +240,8 @@
 
 bool Gateway::isReady() const {
   return !m_StoppingSince && m_Table &&
-         now() - m_LeaderAnsweredAt < m_Options.m_ReadyProbes * probeInterval();
+         base::readMonotonic() - m_LeaderAnsweredAt <
+             m_Options.m_ReadyProbes * probeInterval();
 }
 
 base::Duration Gateway::probeInterval() const {
@@ -253,7 +250,7 @@
 
 /// Asks the leader of history for a sign of life when no call did.
 void Gateway::probeLeader() {
-  if (m_Probing || now() - m_LeaderAnsweredAt < probeInterval())
+  if (m_Probing || base::readMonotonic() - m_LeaderAnsweredAt < probeInterval())
     return;
   m_Probing = true;
   messages::fleet::Request Asked;
@@ -269,7 +266,7 @@
 
 void Gateway::housekeeping() {
   m_Pool.expire();
-  m_Programs.forget(ProgramMemory, now());
+  m_Programs.forget(ProgramMemory, base::readMonotonic());
   probeLeader();
   const bool Ready = isReady();
   if (std::exchange(m_ReportedReady, Ready) != Ready)
@@ -288,7 +285,7 @@
 void Gateway::stop() {
   if (m_StoppingSince)
     return;
-  m_StoppingSince = now();
+  m_StoppingSince = base::readMonotonic();
   finishWhenIdle();
 }
 
@@ -309,7 +306,7 @@
 }
 
 void Gateway::finishWhenIdle() {
-  const base::Duration Since = now() - *m_StoppingSince;
+  const base::Duration Since = base::readMonotonic() - *m_StoppingSince;
   if (!m_Closing && Since >= m_Options.m_StopLinger)
     closeIdle();
   const bool Idle = m_Calls == 0 && Since >= m_Options.m_StopLinger;
--- a/src/gateway/LeaderSearch.cpp
+++ b/src/gateway/LeaderSearch.cpp
@@ -6,16 +6,10 @@
 
 namespace asio = boost::asio;
 
-namespace {
-
-base::TimePoint now() { return base::readClocks().m_Monotonic; }
-
-} // namespace
-
 asio::awaitable<LeaderSearch::Entry> LeaderSearch::enter(base::Duration Limit) {
-  const base::TimePoint Until = now() + Limit;
+  const base::TimePoint Until = base::readMonotonic() + Limit;
   while (m_Leader.empty() && m_Seeking) {
-    const base::TimePoint Now = now();
+    const base::TimePoint Now = base::readMonotonic();
     if (Now >= Until)
       co_return Entry::TimedOut;
     link::Waiter Waiting(m_Io);
--- a/src/gateway/RetryTime.h
+++ b/src/gateway/RetryTime.h
@@ -10,6 +10,9 @@
 
 namespace psp::gateway {
 
+/// Time until an endpoint has announced itself, or a place is free.
+inline constexpr base::Duration EndpointRetry = base::milliseconds(250);
+
 /// What an instance without a leader of history knows of its surroundings.
 struct LeaderOutlook {
   base::Duration m_Uptime{0};     ///< Since this instance started.
--- a/src/history/HistoryDesk.cpp
+++ b/src/history/HistoryDesk.cpp
@@ -31,7 +31,7 @@
                         std::uint64_t WallMs) {
   auto Applied = messages::parseMessage<messages::fleet::HistoryCommand>(
       Command, "history desk");
-  m_Ledger.execute(Applied, WallMs);
+  m_Ledger.apply(Applied, WallMs);
   if (Applied.has_end())
     learn(Applied.end());
   const auto Found = m_Waiting.find(Index);
@@ -57,11 +57,10 @@
   Answer.set_kind(kindOf(Outcome));
   if (Outcome != BeginOutcome::Granted)
     return Answer;
-  if (!Begin.previous().empty() && !Begin.chain_cached())
+  if (!Begin.previous().empty())
     Answer.set_text(m_Ledger.chainText(Begin.organisation(), Begin.previous())
                         .value_or(""));
-  if (Begin.wants_endpoint())
-    Answer.set_endpoint(m_Placement.place(Begin, m_Endpoints, m_Now));
+  Answer.set_endpoint(m_Placement.place(Begin, m_Endpoints, m_Now));
   return Answer;
 }
 
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -51,7 +51,7 @@
 }
 
 void HistoryNode::run() {
-  m_Desk.setTime(readClocks().m_Monotonic);
+  m_Desk.setTime(base::readMonotonic());
   m_Group->start();
   m_Node.start(m_Group->group().identity(),
                {.m_OnMessage =
@@ -66,7 +66,7 @@
 }
 
 void HistoryNode::onMessage(const NodeState &From, LinkMessage &Message) {
-  const base::TimePoint Now = readClocks().m_Monotonic;
+  const base::TimePoint Now = base::readMonotonic();
   m_Desk.setTime(Now);
   if (Message.has_group()) {
     m_Group->onMessage(Message.group());
@@ -110,7 +110,7 @@
       .m_NewProgram =
           Begin.previous().empty() &&
           !m_Desk.ledger().hasProgram(Begin.organisation(), Begin.program()),
-      .m_ArrivedAt = readClocks().m_Monotonic};
+      .m_ArrivedAt = base::readMonotonic()};
   switch (m_Desk.admission().decide(Offered, m_Desk.load(Begin.service()))) {
   case turns::TurnAdmission::Decision::Begin:
     propose(From, Asked);
@@ -141,8 +141,8 @@
         static_cast<std::uint64_t>(100 * m_Desk.admission().newShare())}});
   Reply Answer;
   Answer.set_kind(messages::fleet::REPLY_BUSY);
-  Answer.set_wait_ms(static_cast<std::uint32_t>(
-      std::chrono::duration_cast<base::milliseconds>(RetryAfter).count()));
+  Answer.set_wait_ms(
+      static_cast<std::uint32_t>(base::wholeMilliseconds(RetryAfter)));
   reply(Asked.m_Node, Asked.m_Request.id(), std::move(Answer));
 }
 
@@ -155,8 +155,7 @@
   if (m_Group->group().isSettledLeader())
     for (const auto &Each : m_Desk.admission().takeReady(m_Desk.load(Service)))
       propose(Each.m_Node, Each.m_Request);
-  for (const auto &Each :
-       m_Desk.admission().takeOverdue(readClocks().m_Monotonic))
+  for (const auto &Each : m_Desk.admission().takeOverdue(base::readMonotonic()))
     refuseBusy(Each, base::Duration(0));
   if (m_Desk.admission().waiting() == 0)
     return;
@@ -249,24 +248,23 @@
 }
 
 void HistoryNode::housekeeping() {
-  m_Desk.setTime(readClocks().m_Monotonic);
+  m_Desk.setTime(base::readMonotonic());
   m_Desk.expire();
   m_Node.metrics()
       .gauge(metrics::names::TurnsKept)
       .set(static_cast<std::int64_t>(m_Desk.ledger().turnCount()));
   m_HouseTimer.expires_after(HouseInterval);
   m_HouseTimer.async_wait([this](boost::system::error_code Error) {
-    if (!Error && !m_Stopping)
+    if (!Error)
       housekeeping();
   });
 }
 
 void HistoryNode::stop() {
-  if (std::exchange(m_Stopping, true))
+  if (m_Node.isStopping())
     return;
-  m_Node.announceStop();
-  m_Group->handOver();
   m_Node.finishSoon();
+  m_Group->handOver();
 }
 
 } // namespace psp::history
--- a/src/history/HistoryNode.h
+++ b/src/history/HistoryNode.h
@@ -52,7 +52,6 @@
   std::unique_ptr<link::GroupHost> m_Group;
   std::set<std::string> m_Retiring;
   bool m_Led = false;
-  bool m_Stopping = false;
   boost::asio::steady_timer m_HouseTimer;
   boost::asio::steady_timer m_AdmitTimer;
 };
--- a/src/link/GroupHost.cpp
+++ b/src/link/GroupHost.cpp
@@ -56,13 +56,12 @@
   m_Group.onMessage(Received, Start);
   const std::uint64_t Applied = m_Group.commitIndex() - Before;
   if (Applied >= LongReplay)
-    m_Log.write(
-        "group_replayed",
-        {{"group", groupName(m_Options.m_Kind)},
-         {"entries", Applied},
-         {"took_us",
-          static_cast<std::uint64_t>(
-              (base::readClocks().m_Monotonic - Start.m_Monotonic).count())}});
+    m_Log.write("group_replayed",
+                {{"group", groupName(m_Options.m_Kind)},
+                 {"entries", Applied},
+                 {"took_us",
+                  static_cast<std::uint64_t>(
+                      (base::readMonotonic() - Start.m_Monotonic).count())}});
   settleSoon();
 }
 
--- a/src/link/Link.cpp
+++ b/src/link/Link.cpp
@@ -24,14 +24,12 @@
 /// Short messages that wait together leave in one write up to this length.
 constexpr std::size_t WriteBytes = 64U << 10U;
 
-base::TimePoint now() { return base::readClocks().m_Monotonic; }
-
 } // namespace
 
 Link::Link(asio::ip::tcp::socket Socket, LinkOptions Options, Handlers Handle)
     : m_Socket(std::move(Socket)), m_Options(Options),
       m_Handle(std::move(Handle)), m_WatchTimer(m_Socket.get_executor()),
-      m_HeardAt(now()), m_SentAt(m_HeardAt) {}
+      m_HeardAt(base::readMonotonic()), m_SentAt(m_HeardAt) {}
 
 void Link::start() {
   boost::system::error_code Ignored; // The connection works without it.
@@ -54,7 +52,7 @@
   Message.AppendToString(&Bytes);
   m_QueuedBytes += Bytes.size();
   m_Queue.push_back(std::move(Bytes));
-  m_SentAt = now();
+  m_SentAt = base::readMonotonic();
   if (m_QueuedBytes > m_Options.m_UnsentBytes) {
     close("too many unsent bytes");
     return;
@@ -91,7 +89,7 @@
       close(Error.message());
       co_return;
     }
-    m_HeardAt = now();
+    m_HeardAt = base::readMonotonic();
     Buffer.append(Chunk.data(), Count);
     try {
       if (!takeMessages(Buffer))
@@ -155,7 +153,7 @@
         asio::redirect_error(asio::use_awaitable, Error));
     if (!m_Open)
       co_return;
-    const base::TimePoint Time = now();
+    const base::TimePoint Time = base::readMonotonic();
     if (Time - m_HeardAt > m_Options.m_SilenceLimit) {
       close("silent for too long");
       co_return;
--- a/src/link/RequestTable.cpp
+++ b/src/link/RequestTable.cpp
@@ -44,10 +44,4 @@
   Found->second->m_Waiter->fire();
 }
 
-void RequestTable::abandon(std::uint64_t Id) {
-  const auto Found = m_Rows.find(Id);
-  if (Found != m_Rows.end())
-    Found->second->m_Waiter->fire(false);
-}
-
 } // namespace psp::link
--- a/src/link/RequestTable.h
+++ b/src/link/RequestTable.h
@@ -39,12 +39,10 @@
   explicit RequestTable(boost::asio::io_context &Io) : m_Io(Io) {}
 
   std::uint64_t nextId() { return ++m_LastId; }
-  /// Nothing if no reply came in time, or it was abandoned.
+  /// Nothing if no reply came in time.
   boost::asio::awaitable<std::optional<Reply>> wait(std::uint64_t Id,
                                                     base::Duration Limit);
   void onReply(const Reply &Received);
-  /// Ends the wait for \p Id without a reply.
-  void abandon(std::uint64_t Id);
 
 private:
   struct Row {
--- a/src/node/NodeRuntime.cpp
+++ b/src/node/NodeRuntime.cpp
@@ -49,7 +49,7 @@
   m_Handle = std::move(Handle);
   m_Self = describeSelf();
   m_Self.set_member(Member);
-  m_Nodes.merge(m_Self, base::readClocks().m_Monotonic);
+  m_Nodes.merge(m_Self, base::readMonotonic());
   m_Hub.setSelf(m_Self);
   if (m_Options.m_Listens)
     m_Hub.listen({.m_Host = m_Options.m_PeerBindHost.empty()
@@ -70,6 +70,8 @@
         });
     m_MetricsServer->start();
   }
+  for (const int Signal : {SIGTERM, SIGINT, SIGHUP})
+    m_Signals.add(Signal);
   watchSignals();
   watchSettings();
   shareDirectory();
@@ -85,15 +87,19 @@
 }
 
 void NodeRuntime::finishSoon() {
+  m_Self.set_stopping(true);
+  m_Self.set_revision(m_Self.revision() + 1);
+  m_Nodes.merge(m_Self, base::readMonotonic());
+  m_Hub.setSelf(m_Self);
   m_StopTimer.expires_after(StopDelay);
   m_StopTimer.async_wait([this](boost::system::error_code) { finish(); });
 }
 
-void NodeRuntime::announceStop() {
-  m_Self.set_stopping(true);
-  m_Self.set_revision(m_Self.revision() + 1);
-  m_Nodes.merge(m_Self, base::readClocks().m_Monotonic);
-  m_Hub.setSelf(m_Self);
+std::size_t NodeRuntime::reachedNodes(messages::fleet::NodeKind Kind) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(m_Nodes.ofKind(Kind), [this](const auto &Each) {
+        return m_Hub.isUp(Each.name());
+      }));
 }
 
 void NodeRuntime::broadcast(const LinkMessage &Message,
@@ -113,7 +119,7 @@
 }
 
 void NodeRuntime::onUp(const NodeState &Peer) {
-  const base::TimePoint Now = base::readClocks().m_Monotonic;
+  const base::TimePoint Now = base::readMonotonic();
   const bool Changed = m_Nodes.merge(Peer, Now);
   m_Nodes.touch(Peer.name(), Now);
   m_Log.write("peer_connected",
@@ -138,7 +144,7 @@
 }
 
 void NodeRuntime::mergeDirectory(const messages::fleet::Directory &News) {
-  const base::TimePoint Now = base::readClocks().m_Monotonic;
+  const base::TimePoint Now = base::readMonotonic();
   bool Changed = false;
   for (const NodeState &Each : News.nodes()) {
     if (Each.name() != m_Self.name()) {
@@ -169,7 +175,7 @@
 }
 
 void NodeRuntime::shareDirectory() {
-  const base::TimePoint Now = base::readClocks().m_Monotonic;
+  const base::TimePoint Now = base::readMonotonic();
   for (const std::string &Name : m_Hub.nodesUp())
     m_Nodes.touch(Name, Now);
   m_Nodes.touch(m_Self.name(), Now);
@@ -218,12 +224,6 @@
 }
 
 void NodeRuntime::watchSignals() {
-  static bool Added = false;
-  if (!std::exchange(Added, true)) {
-    m_Signals.add(SIGTERM);
-    m_Signals.add(SIGINT);
-    m_Signals.add(SIGHUP);
-  }
   m_Signals.async_wait([this](boost::system::error_code Error, int Signal) {
     if (Error)
       return;
--- a/src/node/NodeRuntime.h
+++ b/src/node/NodeRuntime.h
@@ -57,10 +57,10 @@
   void run() { m_Io.run(); }
   /// Ends run().
   void finish();
-  /// Ends run() when the last messages have had time to leave.
+  /// Tells others that this node is going to stop, and ends run() when the last
+  /// messages have had time to leave.
   void finishSoon();
-  /// Tells others that this node is going to stop.
-  void announceStop();
+  bool isStopping() const { return m_Self.stopping(); }
 
   const NodeSettings &settings() const { return m_Settings; }
   boost::asio::io_context &io() { return m_Io; }
@@ -68,6 +68,8 @@
   fleet::NodeDirectory &nodes() { return m_Nodes; }
   logging::EventLog &log() { return m_Log; }
   metrics::Registry &metrics() { return m_Metrics; }
+  /// Nodes of \p Kind with an open connection.
+  std::size_t reachedNodes(messages::fleet::NodeKind Kind) const;
   /// Broadcasts to all nodes that are connected, of \p Kind if given.
   void broadcast(const LinkMessage &Message,
                  std::optional<messages::fleet::NodeKind> Kind = {});
--- a/src/program/OwnedProgram.cpp
+++ b/src/program/OwnedProgram.cpp
@@ -167,9 +167,7 @@
   const bool IsLocal =
       Step.m_CutOff.m_CutOff && Step.m_CutOff.m_AcceptLocalTurns;
   Entry.set_durability(IsLocal ? "local" : "quorum");
-  Entry.set_elapsed_ms(static_cast<std::uint64_t>(
-      std::chrono::duration_cast<base::milliseconds>(elapsed(Step.m_Now))
-          .count()));
+  Entry.set_elapsed_ms(base::wholeMilliseconds(elapsed(Step.m_Now)));
   const std::uint64_t Index =
       m_Owner.append(std::move(Entry), Step.m_Now, Step.m_Out);
   foldLog();
--- a/src/program/ProgramTable.cpp
+++ b/src/program/ProgramTable.cpp
@@ -25,9 +25,7 @@
   Created.set_budget_tokens(Limits.m_BudgetTokens);
   Created.set_max_turns(Limits.m_MaxTurns);
   Created.set_max_history_tokens(Limits.m_MaxHistoryTokens);
-  Created.set_max_lifetime_ms(static_cast<std::uint64_t>(
-      std::chrono::duration_cast<base::milliseconds>(Limits.m_MaxLifetime)
-          .count()));
+  Created.set_max_lifetime_ms(base::wholeMilliseconds(Limits.m_MaxLifetime));
   return Created;
 }
 
--- a/src/programs/coordinator/Main.cpp
+++ b/src/programs/coordinator/Main.cpp
@@ -1,8 +1,8 @@
 /// \file
 /// The program psp-coordinator.
 
-#include "base/Error.h"
 #include "coordinator/Coordinator.h"
+#include "node/ProgramMain.h"
 #include "platform/BootFile.h"
 #include "platform/ConfigurationFormat.h"
 #include "platform/ControlDialect.h"
@@ -10,8 +10,6 @@
 #include <gflags/gflags.h>
 
 #include <cstdint>
-#include <cstdlib>
-#include <iostream>
 
 DEFINE_string(settings, "",
               "Settings file; by default the one that the platform names");
@@ -37,11 +35,5 @@
 
 int main(int ArgumentCount, char **Arguments) {
   gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
-  try {
-    serve();
-    return EXIT_SUCCESS;
-  } catch (const std::exception &Fault) {
-    std::cerr << "psp-coordinator: " << Fault.what() << '\n';
-    return EXIT_FAILURE;
-  }
+  return psp::node::runProgram("psp-coordinator", serve);
 }
--- a/src/programs/history/Main.cpp
+++ b/src/programs/history/Main.cpp
@@ -1,15 +1,13 @@
 /// \file
 /// The program psp-history.
 
-#include "base/Error.h"
 #include "history/HistoryNode.h"
+#include "node/ProgramMain.h"
 #include "platform/BootFile.h"
 
 #include <gflags/gflags.h>
 
 #include <cstdint>
-#include <cstdlib>
-#include <iostream>
 
 DEFINE_string(settings, "",
               "Settings file; by default the one that the platform names");
@@ -33,11 +31,5 @@
 
 int main(int ArgumentCount, char **Arguments) {
   gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
-  try {
-    serve();
-    return EXIT_SUCCESS;
-  } catch (const std::exception &Fault) {
-    std::cerr << "psp-history: " << Fault.what() << '\n';
-    return EXIT_FAILURE;
-  }
+  return psp::node::runProgram("psp-history", serve);
 }
--- a/src/programs/load/ProgramRun.cpp
+++ b/src/programs/load/ProgramRun.cpp
@@ -14,8 +14,6 @@
 constexpr std::uint64_t LongestMessageBytes = 800;
 constexpr std::uint64_t LoopTurns = 100000;
 
-base::TimePoint now() { return base::readClocks().m_Monotonic; }
-
 bool isLimit(const std::string &Kind) {
   return Kind == "turn-limit" || Kind == "token-limit" ||
          Kind == "time-limit" || Kind == "budget-exceeded";
@@ -64,7 +62,7 @@
 
 void ProgramRun::start() {
   m_Context.m_Report.noteStarted();
-  m_Started = now();
+  m_Started = base::readMonotonic();
   create();
 }
 
@@ -92,7 +90,7 @@
   }
   --m_TurnsLeft;
   const LoadOptions &Options = m_Context.m_Options;
-  m_CallStarted = now();
+  m_CallStarted = base::readMonotonic();
   if (m_Abandons && m_TurnsLeft == 0) {
     abandon();
   } else if (!Options.m_OrderService.empty() &&
@@ -146,7 +144,7 @@
         std::to_string(Read.m_Text.size()) + " bytes");
   m_Conversation.push_back({"assistant", Read.m_Text});
   m_Context.m_Report.noteTime(Timed::Turn, m_Owner.m_Name,
-                              now() - m_CallStarted);
+                              base::readMonotonic() - m_CallStarted);
   endTurn();
 }
 
@@ -170,7 +168,7 @@
     m_Context.m_Report.noteWrong(m_Id + " turn " + std::to_string(m_Turn) +
                                  ": the answer belongs to another order");
   m_Context.m_Report.noteTime(Timed::Order, m_Owner.m_Name,
-                              now() - m_CallStarted);
+                              base::readMonotonic() - m_CallStarted);
   endTurn();
 }
 
@@ -231,7 +229,7 @@
 
 void ProgramRun::remove() {
   m_Context.m_Report.noteTime(Timed::Program, m_Owner.m_Name,
-                              now() - m_Started);
+                              base::readMonotonic() - m_Started);
   m_Context.m_Report.noteEnded();
   end();
 }
@@ -257,7 +255,7 @@
   Request.m_Address = m_Context.nextEntry();
   Request.m_Timeout = m_Context.m_Options.m_CallTimeout;
   Request.m_Headers.push_back({"Content-Type", "application/json"});
-  const base::TimePoint Sent = now();
+  const base::TimePoint Sent = base::readMonotonic();
   bench::sendRequest(
       m_Context.m_Io, std::move(Request),
       [Self = shared_from_this(), Handle = std::move(Handle)](
@@ -265,7 +263,7 @@
       [this, Sent, TimeFirstByte] {
         if (TimeFirstByte)
           m_Context.m_Report.noteTime(Timed::FirstByte, m_Owner.m_Name,
-                                      now() - Sent);
+                                      base::readMonotonic() - Sent);
       });
 }
 
@@ -282,7 +280,7 @@
 }
 
 void raiseAlarm(LoadContext &Context, const Organisation &Owner) {
-  const base::TimePoint Sent = now();
+  const base::TimePoint Sent = base::readMonotonic();
   const std::string Key = Context.nextKey();
   bench::sendRequest(
       Context.m_Io,
@@ -297,7 +295,8 @@
        Sent](const bench::ClientResponse &Response) {
         const Answer Read = readService(Response);
         if (Read.m_State == AnswerState::Whole)
-          Context.m_Report.noteTime(Timed::Alarm, Name, now() - Sent);
+          Context.m_Report.noteTime(Timed::Alarm, Name,
+                                    base::readMonotonic() - Sent);
         else
           Context.m_Report.noteError(Name, "alarm: " + Read.m_Kind);
       });
--- a/src/programs/standin/ModelService.cpp
+++ b/src/programs/standin/ModelService.cpp
@@ -107,7 +107,7 @@
   Call &New = m_Calls[Number];
   New.m_Run = startRun(m_Options.m_Services.front(), Request);
   if (m_LeftAt) {
-    const auto Since = base::readClocks().m_Monotonic - *m_LeftAt;
+    const auto Since = base::readMonotonic() - *m_LeftAt;
     New.m_Run.m_SinceLeaveMs =
         std::chrono::duration_cast<base::milliseconds>(Since).count();
   }
--- a/src/programs/standin/PlainService.cpp
+++ b/src/programs/standin/PlainService.cpp
@@ -114,7 +114,7 @@
   CallRun Run = startRun(Service, Exchange->request());
   Run.m_End = Run.m_Start;
   if (m_LeftAt) {
-    const auto Since = base::readClocks().m_Monotonic - *m_LeftAt;
+    const auto Since = base::readMonotonic() - *m_LeftAt;
     Run.m_SinceLeaveMs =
         std::chrono::duration_cast<base::milliseconds>(Since).count();
   }
--- a/src/programs/standin/StandinServer.cpp
+++ b/src/programs/standin/StandinServer.cpp
@@ -83,7 +83,7 @@
 void StandinServer::leave() {
   LOG(INFO) << "standin: " << m_Options.m_Id << " leaves";
   m_Announcer.leave([this] {
-    m_Service->noteLeaving(base::readClocks().m_Monotonic);
+    m_Service->noteLeaving(base::readMonotonic());
     stopWhenIdle();
   });
 }
--- a/src/turns/EnginePlacement.cpp
+++ b/src/turns/EnginePlacement.cpp
@@ -36,10 +36,11 @@
       [&](const fleet::EndpointState &Each) { Usable.push_back(&Each); });
   const std::set<std::string> Sharing =
       enginesOfPrefix(Begin.prompt_prefix(), Usable);
+  const double Typical = typicalGapUs();
   std::vector<std::string> Best;
   double Lowest = std::numeric_limits<double>::max();
   for (const fleet::EndpointState *Each : Usable) {
-    double Cost = cost(*Each, Now);
+    double Cost = cost(*Each, Typical, Now);
     const bool RanHere = Preferred != m_Preferences.end() &&
                          Preferred->second.m_Endpoint == Each->id();
     if (Preferred != m_Preferences.end() && !RanHere)
@@ -77,14 +78,13 @@
 }
 
 double EnginePlacement::cost(const fleet::EndpointState &Candidate,
-                             base::TimePoint Now) const {
+                             double TypicalGapUs, base::TimePoint Now) const {
   const auto Found = m_Engines.find(Candidate.id());
   const Engine Known = Found == m_Engines.end() ? Engine{} : Found->second;
   const double Fade = fadeFactor(Known.m_SeenAt, Now);
-  const double Typical = typicalGapUs();
   double Slowness = 1;
-  if (Known.m_EventGapUs > 0 && Typical > 0)
-    Slowness = 1 + std::max(0.0, Known.m_EventGapUs / Typical - 1) * Fade;
+  if (Known.m_EventGapUs > 0 && TypicalGapUs > 0)
+    Slowness = 1 + std::max(0.0, Known.m_EventGapUs / TypicalGapUs - 1) * Fade;
   const double Slots = std::max<std::uint32_t>(Candidate.slots(), 1);
   const double Queued = std::max(0.0, Known.m_Running + 1 - Slots) / Slots;
   double Total =
--- a/src/turns/EnginePlacement.h
+++ b/src/turns/EnginePlacement.h
@@ -91,7 +91,9 @@
     base::TimePoint m_At;
   };
 
-  double cost(const fleet::EndpointState &Candidate, base::TimePoint Now) const;
+  /// \p TypicalGapUs: of all engines, zero if unknown.
+  double cost(const fleet::EndpointState &Candidate, double TypicalGapUs,
+              base::TimePoint Now) const;
   std::set<std::string> enginesOfPrefix(
       const std::string &Prefix,
       const std::vector<const fleet::EndpointState *> &Usable) const;
--- a/src/turns/TurnLedger.cpp
+++ b/src/turns/TurnLedger.cpp
@@ -34,15 +34,8 @@
 
 } // namespace
 
-void TurnLedger::apply(std::uint64_t /*Index*/, std::string_view Command,
+void TurnLedger::apply(messages::fleet::HistoryCommand &Command,
                        std::uint64_t WallMs) {
-  auto Read = messages::parseMessage<messages::fleet::HistoryCommand>(
-      Command, "turn ledger");
-  execute(Read, WallMs);
-}
-
-void TurnLedger::execute(messages::fleet::HistoryCommand &Command,
-                         std::uint64_t WallMs) {
   expire(WallMs);
   if (Command.has_begin())
     begin(Command.begin(), WallMs);
--- a/src/turns/TurnLedger.h
+++ b/src/turns/TurnLedger.h
@@ -5,7 +5,6 @@
 #ifndef PSP_TURNS_TURNLEDGER_H
 #define PSP_TURNS_TURNLEDGER_H
 
-#include "consensus/StateMachine.h"
 #include "generated/fleet.pb.h"
 #include "turns/ExpiryQueue.h"
 
@@ -37,19 +36,17 @@
 /// charged for what its caller received when it ends, so the sum over all
 /// parallel turns stays inside the budget whatever fails between. A turn whose
 /// entry instance died keeps its reservation.
-class TurnLedger : public consensus::StateMachine {
+class TurnLedger {
 public:
   using BeginTurn = messages::fleet::BeginTurn;
   using EndTurn = messages::fleet::EndTurn;
 
   explicit TurnLedger(TurnLedgerOptions Options = {}) : m_Options(Options) {}
 
-  void apply(std::uint64_t Index, std::string_view Command,
-             std::uint64_t WallMs) override;
-  /// Like apply(), and takes the text of a kept turn out of \p Command.
-  void execute(messages::fleet::HistoryCommand &Command, std::uint64_t WallMs);
-  std::string snapshot() const override;
-  void restore(std::string_view Snapshot) override;
+  /// Takes the text of a kept turn out of \p Command. \p WallMs: of the log.
+  void apply(messages::fleet::HistoryCommand &Command, std::uint64_t WallMs);
+  std::string snapshot() const;
+  void restore(std::string_view Snapshot);
 
   /// The outcome of the begin that was applied last.
   BeginOutcome lastBegin() const { return m_LastBegin; }
--- a/tests/correctness/GatewayPartsTest.cpp
+++ b/tests/correctness/GatewayPartsTest.cpp
@@ -101,50 +101,47 @@
     EXPECT_EQ(Shares.take(Sender, false, Now), RateDecision::Pass) << Each;
 }
 
-TEST(ServicePlacementTest, AvoidsWhatHasJustFailed) {
-  fleet::EndpointDirectory Directory;
-  const base::TimePoint Now{seconds(10)};
-  for (const char *Id : {"a", "b"}) {
-    fleet::EndpointState State;
-    State.set_id(Id);
-    State.set_service("desk");
-    State.set_address(std::string("10.0.0.1:") + (Id[0] == 'a' ? "1" : "2"));
-    State.set_slots(6);
-    State.set_born(1);
-    Directory.merge(State, false, Now);
+class ServicePlacementTest : public testing::Test {
+protected:
+  ServicePlacementTest() {
+    for (const char *Id : {"a", "b"}) {
+      fleet::EndpointState State;
+      State.set_id(Id);
+      State.set_service("desk");
+      State.set_address(std::string("10.0.0.1:") + (Id[0] == 'a' ? "1" : "2"));
+      State.set_slots(6);
+      State.set_born(1);
+      m_Directory.merge(State, false, m_Now);
+    }
   }
-  ServicePlacement Placement({.m_DataCentre = "x"});
-  Placement.onUnreachable("a", Now);
+
+  const base::TimePoint m_Now{seconds(10)};
+  fleet::EndpointDirectory m_Directory;
+  ServicePlacement m_Placement{{.m_DataCentre = "x"}};
+};
+
+TEST_F(ServicePlacementTest, AvoidsWhatHasJustFailed) {
+  m_Placement.onUnreachable("a", m_Now);
   for (int Each = 0; Each < 10; ++Each)
-    EXPECT_EQ(Placement.place("desk", "", {}, Directory, Now)->id(), "b");
-  EXPECT_EQ(Placement.place("desk", "", {"b"}, Directory, Now)->id(), "a");
-  EXPECT_EQ(Placement.place("desk", "", {"a", "b"}, Directory, Now), nullptr);
+    EXPECT_EQ(m_Placement.place("desk", "", {}, m_Directory, m_Now)->id(), "b");
+  EXPECT_EQ(m_Placement.place("desk", "", {"b"}, m_Directory, m_Now)->id(),
+            "a");
+  EXPECT_EQ(m_Placement.place("desk", "", {"a", "b"}, m_Directory, m_Now),
+            nullptr);
   {
     SCOPED_TRACE("and tries it again later");
-    EXPECT_FALSE(Placement.isAvoided("a", Now + seconds(1)));
+    EXPECT_FALSE(m_Placement.isAvoided("a", m_Now + seconds(1)));
   }
 }
 
-TEST(ServicePlacementTest, AFewLostAnswersDoNotCrowdTheOthers) {
-  fleet::EndpointDirectory Directory;
-  const base::TimePoint Now{seconds(10)};
-  for (const char *Id : {"a", "b"}) {
-    fleet::EndpointState State;
-    State.set_id(Id);
-    State.set_service("desk");
-    State.set_address(std::string("10.0.0.1:") + (Id[0] == 'a' ? "1" : "2"));
-    State.set_slots(6);
-    State.set_born(1);
-    Directory.merge(State, false, Now);
-  }
-  ServicePlacement Placement({.m_DataCentre = "x"});
+TEST_F(ServicePlacementTest, AFewLostAnswersDoNotCrowdTheOthers) {
   for (int Each = 0; Each < 20; ++Each)
-    Placement.onDone("a", milliseconds(20), Now);
-  Placement.onFailed("a");
+    m_Placement.onDone("a", milliseconds(20), m_Now);
+  m_Placement.onFailed("a");
   // Half of its slots taken costs as much as one failure in ten.
   for (int Each = 0; Each < 10; ++Each)
-    Placement.onSent("b");
-  EXPECT_EQ(Placement.place("desk", "", {}, Directory, Now)->id(), "a");
+    m_Placement.onSent("b");
+  EXPECT_EQ(m_Placement.place("desk", "", {}, m_Directory, m_Now)->id(), "a");
 }
 
 TEST(RetryTimeTest, CallersComeBackWhenALeaderCanBeThere) {
--- a/tests/correctness/GroupElectionTest.cpp
+++ b/tests/correctness/GroupElectionTest.cpp
@@ -13,6 +13,23 @@
 
 constexpr std::uint64_t Seeds = 40;
 
+/// Commands that come every 5 ms, each with a name of its own.
+class CommandStream {
+public:
+  explicit CommandStream(GroupSimulation &Group) : m_Group(Group) {}
+
+  void pass(int Steps) {
+    for (int Each = 0; Each < Steps; ++Each) {
+      m_Group.submit("c" + std::to_string(++m_Last));
+      m_Group.pass(milliseconds(5));
+    }
+  }
+
+private:
+  GroupSimulation &m_Group;
+  std::uint64_t m_Last = 0;
+};
+
 /// Load pattern: the leader's process is stopped as planned while commands come
 /// all the time. Those that it took after it had told its successor to go were
 /// what the successor lacked, so that nobody voted for it.
@@ -22,17 +39,11 @@
     GroupSimulation Group(
         {.m_Seed = Seed, .m_LossShare = 0, .m_KeepsOrder = true});
     Group.pass(seconds(3));
-    std::uint64_t Command = 0;
-    const auto PassUnderLoad = [&](int Steps) {
-      for (int Each = 0; Each < Steps; ++Each) {
-        Group.submit("c" + std::to_string(++Command));
-        Group.pass(milliseconds(5));
-      }
-    };
-    PassUnderLoad(20);
+    CommandStream Commands(Group);
+    Commands.pass(20);
     const std::size_t Old = Group.leader().value();
     Group.handOver();
-    PassUnderLoad(30);
+    Commands.pass(30);
     ASSERT_TRUE(Group.leader());
     EXPECT_NE(*Group.leader(), Old);
     EXPECT_EQ(Group.findDivergence(), std::nullopt);
@@ -126,22 +137,16 @@
                            .m_CompactBytes = 1U << 20U,
                            .m_KeepsOrder = true});
     Group.pass(seconds(3));
-    std::uint64_t Command = 0;
-    const auto PassUnderLoad = [&](int Steps) {
-      for (int Each = 0; Each < Steps; ++Each) {
-        Group.submit("c" + std::to_string(++Command));
-        Group.pass(milliseconds(5));
-      }
-    };
-    PassUnderLoad(50);
+    CommandStream Commands(Group);
+    Commands.pass(50);
     const std::size_t Old = Group.leader().value();
     for (std::size_t Each = 0; Each < Group.size(); ++Each)
       Group.cut(Old, Each, true);
-    PassUnderLoad(400);
+    Commands.pass(400);
     const std::size_t New = Group.leader().value();
     ASSERT_NE(New, Old);
     Group.healAll();
-    PassUnderLoad(200);
+    Commands.pass(200);
     // All but what is on its way, and not yet known as committed.
     EXPECT_GE(Group.applied(Old).size() + 50, Group.applied(New).size());
   }
--- a/tests/correctness/TokenDeskTest.cpp
+++ b/tests/correctness/TokenDeskTest.cpp
@@ -11,49 +11,51 @@
 using base::milliseconds;
 using base::seconds;
 
-TEST(TokenDeskTest, ProgramsThatHaveBegunComeFirst) {
-  TokenDesk Desk;
-  fleet::OrganisationSpec Sender;
-  Sender.m_Name = "g";
-  Sender.m_RatePerSecond = 5;
-  Sender.m_Burst = 10;
-  base::TimePoint Now{seconds(100)};
-  Desk.reset(Now);
-  EXPECT_EQ(Desk.take(Sender, 1, true, Now), 0U);
-  Now += seconds(1);
-  EXPECT_EQ(Desk.take(Sender, 1, true, Now), 0U);
-  EXPECT_EQ(Desk.take(Sender, 1, false, Now), 1U);
-  Now += seconds(10);
-  EXPECT_EQ(Desk.take(Sender, 10, true, Now), 4U);
-  EXPECT_EQ(Desk.take(Sender, 10, false, Now), 6U);
+class TokenDeskTest : public testing::Test {
+protected:
+  TokenDeskTest() {
+    m_Sender.m_Name = "g";
+    m_Desk.reset(m_Now);
+  }
+  void setRate(double PerSecond, double Burst) {
+    m_Sender.m_RatePerSecond = PerSecond;
+    m_Sender.m_Burst = Burst;
+  }
+  std::uint32_t take(std::uint32_t Wanted, bool NewProgram) {
+    return m_Desk.take(m_Sender, Wanted, NewProgram, m_Now);
+  }
+  /// Three tokens are asked for each 5 ms, for five seconds.
+  std::uint32_t takeForFiveSeconds(bool SomeBegin) {
+    std::uint32_t Given = 0;
+    for (int Step = 0; Step < 1000; ++Step, m_Now += milliseconds(5))
+      Given += take(3, SomeBegin && Step % 2 == 0);
+    return Given;
+  }
+
+  TokenDesk m_Desk;
+  fleet::OrganisationSpec m_Sender;
+  base::TimePoint m_Now{seconds(100)};
+};
+
+TEST_F(TokenDeskTest, ProgramsThatHaveBegunComeFirst) {
+  setRate(5, 10);
+  EXPECT_EQ(take(1, true), 0U);
+  m_Now += seconds(1);
+  EXPECT_EQ(take(1, true), 0U);
+  EXPECT_EQ(take(1, false), 1U);
+  m_Now += seconds(10);
+  EXPECT_EQ(take(10, true), 4U);
+  EXPECT_EQ(take(10, false), 6U);
 }
 
-TEST(TokenDeskTest, NeverGivesMoreThanRateAndBurst) {
-  TokenDesk Desk;
-  fleet::OrganisationSpec Sender;
-  Sender.m_Name = "g";
-  Sender.m_RatePerSecond = 5;
-  Sender.m_Burst = 10;
-  base::TimePoint Now{seconds(100)};
-  Desk.reset(Now);
-  std::uint32_t Given = 0;
-  for (int Step = 0; Step < 1000; ++Step, Now += milliseconds(5))
-    Given += Desk.take(Sender, 3, Step % 2 == 0, Now);
-  EXPECT_LE(Given, 5U * 5 + 10);
+TEST_F(TokenDeskTest, NeverGivesMoreThanRateAndBurst) {
+  setRate(5, 10);
+  EXPECT_LE(takeForFiveSeconds(true), 5U * 5 + 10);
 }
 
-TEST(TokenDeskTest, TheDividedPartOfAHighRateIsNotGivenTwice) {
-  TokenDesk Desk;
-  fleet::OrganisationSpec Sender;
-  Sender.m_Name = "g";
-  Sender.m_RatePerSecond = 200;
-  Sender.m_Burst = 200;
-  base::TimePoint Now{seconds(100)};
-  Desk.reset(Now);
-  std::uint32_t Given = 0;
-  for (int Step = 0; Step < 1000; ++Step, Now += milliseconds(5))
-    Given += Desk.take(Sender, 3, false, Now);
-  EXPECT_LE(Given, 100U * 5 + 100);
+TEST_F(TokenDeskTest, TheDividedPartOfAHighRateIsNotGivenTwice) {
+  setRate(200, 200);
+  EXPECT_LE(takeForFiveSeconds(false), 100U * 5 + 100);
 }
 
 } // namespace
--- a/tests/correctness/TurnLedgerTest.cpp
+++ b/tests/correctness/TurnLedgerTest.cpp
@@ -23,7 +23,7 @@
     Begin.set_most(Most);
     Begin.set_previous(Previous);
     Begin.set_retention_ms(60'000);
-    m_Ledger.apply(++m_Index, Command.SerializeAsString(), m_WallMs);
+    m_Ledger.apply(Command, m_WallMs);
     return m_Ledger.lastBegin();
   }
 
@@ -39,11 +39,10 @@
     End.set_text(Text);
     End.set_previous(Previous);
     End.set_retention_ms(60'000);
-    m_Ledger.apply(++m_Index, Command.SerializeAsString(), m_WallMs);
+    m_Ledger.apply(Command, m_WallMs);
   }
 
   TurnLedger m_Ledger;
-  std::uint64_t m_Index = 0;
   std::uint64_t m_WallMs = 1'000'000;
 };
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -158,6 +158,10 @@
             self.fail(f"{request} was answered 200 though no endpoint ran it")
         return request, answer
 
+    async def lone_turn(self, node=None):
+        extra = [("Program-Id", self.new_id()), ("Token-Budget", "99"), ("Token-Counts", "1,12")]
+        return await self.call("/turn/x", extra, b"in", once=True, node=node)
+
     async def plain(self):
         while not self.over:
             once = self.random.random() < 0.5
@@ -199,8 +203,7 @@
             node.stop_now()
         await asyncio.sleep(2)
         for node in self.fleet.of("entry"):
-            _, answer = await self.call("/turn/x", [("Program-Id", self.new_id()), ("Token-Budget", "99"),
-                                                    ("Token-Counts", "1,12")], b"in", once=True, node=node)
+            _, answer = await self.lone_turn(node)
             ready = await http(node.host, READY_PORT, "GET", "/pistachiospool/readiness", timeout=1)
             if not answer or answer[0] != 503 or not ready or ready[0] != 503:
                 self.fail(f"{node.name} serves turns without history, or doesn't answer")
@@ -311,8 +314,7 @@
             self.fail(f"only {good} of 12 turns were served after the last fault")
 
     async def serve_some(self):
-        answers = [await self.call("/turn/x", [("Program-Id", self.new_id()), ("Token-Budget", "99"),
-                                               ("Token-Counts", "1,12")], b"in", once=True) for _ in range(12)]
+        answers = [await self.lone_turn() for _ in range(12)]
         return sum(1 for _, a in answers if a and a[0] == 200 and a[3])
 
     def check_promises(self):
