--- a/src/base/RecordSink.h
+++ b/src/base/RecordSink.h
@@ -5,6 +5,7 @@
 #define PSP_BASE_RECORDSINK_H
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace psp::base {
@@ -20,6 +21,14 @@
   virtual std::uint64_t append(std::string_view Record) = 0;
 };
 
+/// A sink whose records can be read back.
+class RecordStore : public RecordSink {
+public:
+  /// The record with \p Sequence, which must have been appended and not been
+  /// released. Throws UserError(Internal) when it is damaged.
+  virtual std::string read(std::uint64_t Sequence) const = 0;
+};
+
 } // namespace psp::base
 
 #endif
--- a/src/consensus/Group.cpp
+++ b/src/consensus/Group.cpp
@@ -1,5 +1,7 @@
 #include "consensus/Group.h"
 
+#include "base/Error.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -26,26 +28,30 @@
   return "unknown";
 }
 
-Group::Group(GroupOptions Options, base::RecordSink &Sink,
+Group::Group(GroupOptions Options, base::RecordStore &Store,
              StateMachine &Machine)
-    : m_Options(Options), m_Machine(Machine), m_Log(Sink),
-      m_Random(Options.m_Seed),
-      m_CompactAt(Options.m_CompactBytes +
-                  m_Random() % (Options.m_CompactBytes / 4 + 1)) {}
-
-void Group::restore(std::string_view Record) {
-  m_Log.restore(Record);
-  if (m_Log.snapshotIndex() > m_Applied) {
-    m_Machine.restore(m_Log.takeRestoredState());
-    m_Applied = m_Log.snapshotIndex();
+    : m_Options(Options), m_Machine(Machine),
+      m_Log(Store, Options.m_Number, Options.m_MemoryBytes),
+      m_Random(Options.m_Seed) {}
+
+void Group::restore(std::uint64_t Sequence, GroupLog::Record Known) {
+  m_Log.restore(Sequence, std::move(Known));
+}
+
+void Group::start(const std::string &Identity, const base::Now &Now) {
+  m_Identity = Identity;
+  if (const auto Restored = m_Log.takeRestored()) {
+    m_Machine.restore(Restored->state());
+    m_SnapshotBytes = Restored->state().size();
+    m_Applied = Restored->index();
+  } else if (m_Log.baseIndex() > 0) {
+    throw base::UserError(base::ErrorKind::Internal,
+                          "group " + std::to_string(m_Options.m_Number) +
+                              ": expected a snapshot before entry " +
+                              std::to_string(m_Log.firstIndex()) +
+                              ", found none in the journal");
   }
   apply(std::min(m_Log.knownCommit(), m_Log.lastIndex()));
-  trimMemory();
-}
-
-void Group::start(const std::string &FreshIdentity, const base::Now &Now) {
-  if (m_Log.identity().empty())
-    m_Log.setIdentity(FreshIdentity);
   m_Commit = m_Applied;
   m_Synced = m_Log.lastIndex();
   scheduleElection(Now.m_Monotonic);
@@ -101,7 +107,8 @@
   if (Time < m_ElectionAt)
     return;
   scheduleElection(Time);
-  if (isMember())
+  // Without the entries that its state refers to it couldn't lead.
+  if (isMember() && m_Log.lastIndex() >= m_Commit)
     startTrial(Time);
 }
 
@@ -111,6 +118,7 @@
 
 void Group::onSynced(const base::Now &Now) {
   m_Synced = m_Log.lastIndex();
+  m_Log.onSynced();
   m_OwnVoteSynced = true;
   if (m_Role == GroupRole::Candidate)
     countVotes(Now.m_Monotonic, millisecondsOf(Now.m_Wall));
@@ -163,19 +171,21 @@
 void Group::handOver(const base::Now &Now) {
   if (!isLeader())
     return;
-  const Progress *Best = nullptr;
-  std::string BestMember;
+  std::vector<std::string> Best;
+  std::uint64_t Match = m_Commit;
   for (const Member &Each : membership().members()) {
     const auto Found = m_Progress.find(Each.id());
-    if (Each.id() == identity() || Found == m_Progress.end())
+    if (Each.id() == identity() || Found == m_Progress.end() ||
+        Found->second.m_Match < Match)
       continue;
-    if (!Best || Found->second.m_Match > Best->m_Match) {
-      Best = &Found->second;
-      BestMember = Each.id();
-    }
+    if (Found->second.m_Match > Match)
+      Best.clear();
+    Match = Found->second.m_Match;
+    Best.push_back(Each.id());
   }
-  if (!Best || Best->m_Match < m_Commit)
+  if (Best.empty())
     return;
+  const std::string &BestMember = Best[m_Random() % Best.size()];
   sendAppend(BestMember, Now.m_Monotonic);
   send(BestMember, true).set_elect_now(true);
   m_HandingOverUntil = Now.m_Monotonic + m_Options.m_HandOverPause;
@@ -192,10 +202,6 @@
   return std::exchange(m_Outbox, {});
 }
 
-std::optional<GroupCheckpoint> Group::takeCheckpoint() {
-  return std::exchange(m_Checkpoint, std::nullopt);
-}
-
 bool Group::isSettledLeader() const {
   return isLeader() && m_Commit >= m_TermStart && !m_HandingOverUntil;
 }
@@ -212,6 +218,15 @@
   return Found == m_Progress.end() ? std::nullopt : Found->second.m_Heard;
 }
 
+void Group::leave(base::TimePoint Now) {
+  stepDown(Now);
+  m_Log.leave();
+  m_Machine.restore({});
+  m_Applied = 0;
+  m_Commit = 0;
+  m_IsCurrent = false;
+}
+
 bool Group::isMember(const std::string &Identity) const {
   return std::ranges::any_of(membership().members(), [&](const Member &Each) {
     return Each.id() == Identity;
@@ -224,6 +239,7 @@
 
 Group::Message &Group::send(const std::string &To, bool Early) {
   Message &Next = (Early ? m_Early : m_Outbox).emplace_back();
+  Next.set_number(m_Options.m_Number);
   Next.set_from(identity());
   Next.set_to(To);
   Next.set_term(m_Log.term());
--- a/src/consensus/Group.h
+++ b/src/consensus/Group.h
@@ -13,6 +13,10 @@
 /// the leader has committed an entry of its own term. Nodes that are no
 /// members receive the log, so that they can take a place at once.
 ///
+/// **Snapshots.** A state may refer to earlier entries. A member that lacks too
+/// much gets the state first and then every entry that it refers to; until it
+/// has them all it doesn't stand for election.
+///
 /// **Reads.** No lease is used, since a suspended process doesn't see time
 /// pass. A read is answered after a majority has followed a round that began
 /// after the read came in.
@@ -39,13 +43,9 @@
 
 namespace psp::consensus {
 
-/// What replaces the oldest records of the journal.
-struct GroupCheckpoint {
-  std::string m_Record;
-  std::uint64_t m_Covered = 0; ///< Sequence of the last replaced record.
-};
-
 struct GroupOptions {
+  /// Which of the groups of its kind this is.
+  std::uint32_t m_Number = 0;
   /// Elections begin after one to two of these without a leader. Four
   /// heartbeats, and above a resent packet of 200 ms.
   base::Duration m_ElectionTimeout = base::milliseconds(400);
@@ -60,19 +60,18 @@
   /// Entries that are not acknowledged after this are sent again.
   base::Duration m_ResendInterval = base::milliseconds(250);
   /// Longest batch of entries in one message, in bytes.
-  std::uint64_t m_BatchBytes = 512U << 10U;
+  std::uint64_t m_BatchBytes = 128U << 10U;
   /// Entries on their way to one member without an answer, in bytes: what a
   /// member that catches up may hold in memory twice.
-  std::uint64_t m_WindowBytes = 1U << 20U;
+  std::uint64_t m_WindowBytes = 256U << 10U;
   /// Tells followers of each commit at once, where others wait for them.
   bool m_AnnounceCommits = true;
-  /// Entries in memory for members that catch up, in bytes; a third of them
-  /// is forgotten when there are more.
-  std::uint64_t m_MemoryBytes = 24U << 20U;
-  /// Entries in the journal before a snapshot replaces them, in bytes. Each
-  /// member adds up to a quarter by lot, and a leader hands over first, since
-  /// writing a snapshot takes about as long as an election.
-  std::uint64_t m_CompactBytes = 48U << 20U;
+  /// The newest entries stay in memory up to this many bytes; others are read
+  /// from the journal.
+  std::uint64_t m_MemoryBytes = 1U << 20U;
+  /// A snapshot is written after this many bytes of entries, and after twice
+  /// its own length if that is more: what a restart has to apply.
+  std::uint64_t m_CompactBytes = 1U << 20U;
   std::uint64_t m_Seed = 0;
 };
 
@@ -86,14 +85,14 @@
   using Member = messages::fleet::GroupMember;
   using Membership = messages::fleet::GroupMembership;
 
-  Group(GroupOptions Options, base::RecordSink &Sink, StateMachine &Machine);
+  Group(GroupOptions Options, base::RecordStore &Store, StateMachine &Machine);
 
-  /// Takes the journal's records, oldest first, before start(). Entries that
-  /// are known as committed are applied right away: after a power cut a leader
-  /// would otherwise apply them all before it answers anybody.
-  void restore(std::string_view Record);
-  /// \p FreshIdentity becomes the disk's identity if the journal holds none.
-  void start(const std::string &FreshIdentity, const base::Now &Now);
+  /// Takes the journal's records of this group, oldest first, before start().
+  void restore(std::uint64_t Sequence, GroupLog::Record Known);
+  /// \p Identity: of this machine's disk. Applies what the journal knows as
+  /// committed: after a power cut a leader would otherwise do so before it
+  /// answers anybody.
+  void start(const std::string &Identity, const base::Now &Now);
 
   /// Founds the group. Ignored unless nothing was ever received.
   void found(const Membership &Founders, const base::Now &Now);
@@ -116,10 +115,10 @@
 
   /// Proposes \p Next, which differs by one member. False if it can't now.
   bool changeMembership(const Membership &Next, const base::Now &Now);
-  /// Leads with a journal so long that it should be replaced.
-  bool wantsHandOver() const {
-    return isLeader() && m_Log.journalBytes() > m_CompactAt;
-  }
+  /// Writes a snapshot now, so that the journal can drop old records.
+  void writeSnapshot();
+  /// Forgets everything but term and vote: this machine is no member any more.
+  void leave(base::TimePoint Now);
   /// Nodes that receive the log without being members, while leading.
   void setLearners(const std::set<std::string> &Identities);
   /// Hands leadership to the member that follows best.
@@ -128,7 +127,6 @@
   /// Messages that need no sync before they leave.
   std::vector<Message> takeEarly(const base::Now &Now);
   std::vector<Message> takeMessages();
-  std::optional<GroupCheckpoint> takeCheckpoint();
 
   bool isLeader() const { return m_Role == GroupRole::Leader; }
   /// Leads, has committed an entry of its own term, and isn't handing over.
@@ -138,13 +136,33 @@
   bool isCurrent() const { return m_IsCurrent; }
   GroupRole role() const { return m_Role; }
   const std::string &leader() const { return m_Leader; }
-  const std::string &identity() const { return m_Log.identity(); }
+  const std::string &identity() const { return m_Identity; }
   std::uint64_t term() const { return m_Log.term(); }
   std::uint64_t commitIndex() const { return m_Commit; }
   std::uint64_t lastIndex() const { return m_Log.lastIndex(); }
   const Membership &membership() const { return m_Log.membership(); }
+  const Membership &committedMembership() const {
+    return m_Log.membershipAt(m_Commit);
+  }
+  /// Index of the newest membership, committed or not.
+  std::uint64_t membershipIndex() const { return m_Log.membershipIndex(); }
+  /// The command at \p Index, which the state refers to. Throws
+  /// UserError(Internal) when it is damaged on this disk.
+  std::string commandAt(std::uint64_t Index) const {
+    return m_Log.read(Index).command();
+  }
+  /// Whether the entry at \p Index is still kept here.
+  bool holds(std::uint64_t Index) const {
+    return Index >= m_Log.firstIndex() && Index <= m_Log.lastIndex();
+  }
+  /// Sequence of the oldest journal record that is needed, and the one that a
+  /// snapshot taken now would need.
+  std::uint64_t oldestNeeded() const { return m_Log.oldestNeeded(); }
+  std::uint64_t oldestNeededAfterSnapshot() const;
+  /// When this member last heard a leader.
+  std::optional<base::TimePoint> heardLeaderAt() const { return m_HeardLeader; }
   bool isMember() const { return isMember(identity()); }
-  bool hasHistory() const { return m_Log.lastIndex() > 0; }
+  bool hasHistory() const { return m_Log.lastIndex() > 0 || m_Commit > 0; }
   /// Whether \p Identity holds everything but the last few entries.
   bool isCaughtUp(const std::string &Identity) const;
   /// When \p Identity was last heard, while leading.
@@ -202,9 +220,10 @@
   Progress &progressOf(const std::string &Identity);
   void applyUpTo(std::uint64_t Index);
   void apply(std::uint64_t Index);
+  void applyEntry(const messages::fleet::GroupEntry &Entry);
+  std::uint64_t snapshotBase() const;
   void advanceReads();
   void compactIfLong();
-  void trimMemory();
   std::uint64_t appendOwn(messages::fleet::GroupEntry Entry,
                           std::uint64_t WallMs);
   std::set<std::string> receivers() const;
@@ -217,6 +236,7 @@
   GroupOptions m_Options;
   StateMachine &m_Machine;
   GroupLog m_Log;
+  std::string m_Identity;
   std::mt19937_64 m_Random;
 
   GroupRole m_Role = GroupRole::Follower;
@@ -244,8 +264,7 @@
 
   std::vector<Message> m_Early;
   std::vector<Message> m_Outbox;
-  std::optional<GroupCheckpoint> m_Checkpoint;
-  std::uint64_t m_CompactAt = 0; ///< Bytes of the journal.
+  std::uint64_t m_SnapshotBytes = 0; ///< Of the last one.
 };
 
 } // namespace psp::consensus
--- a/src/consensus/GroupLog.cpp
+++ b/src/consensus/GroupLog.cpp
@@ -4,166 +4,264 @@
 #include "messages/Parse.h"
 
 #include <algorithm>
+#include <iterator>
+#include <limits>
 #include <utility>
 
 namespace psp::consensus {
 
-using messages::fleet::GroupRecord;
-
-void GroupLog::restore(std::string_view Record) {
-  auto Read = messages::parseMessage<GroupRecord>(Record, "group journal");
-  if (!Read.identity().empty())
-    m_Identity = Read.identity();
+void GroupLog::restore(std::uint64_t Sequence, Record Read) {
+  if (m_FirstRecord == 0)
+    m_FirstRecord = Sequence;
   if (Read.has_term()) {
     m_Term = Read.term();
     m_Vote = Read.vote();
   }
-  if (Read.has_snapshot()) {
-    m_Base = std::move(*Read.mutable_snapshot());
-    m_Entries.clear();
-    m_EntryBytes = 0;
-    findMembership();
-    for (Entry &Each : *Read.mutable_tail())
-      take(std::move(Each));
+  if (Read.left()) {
+    clear({});
+    m_Restored.reset();
+    m_KnownCommit = 0;
+    m_Last = Checkpoint{.m_Sequence = Sequence, .m_Base = 0};
   }
+  if (Read.has_snapshot())
+    restoreSnapshot(Sequence, Read.installed(), *Read.mutable_snapshot());
   if (Read.has_entry())
-    take(std::move(*Read.mutable_entry()));
+    take(Sequence, std::move(*Read.mutable_entry()));
   m_KnownCommit = std::max(m_KnownCommit, Read.commit());
 }
 
-void GroupLog::setIdentity(const std::string &Identity) {
-  m_Identity = Identity;
-  GroupRecord Record;
-  Record.set_identity(Identity);
-  write(Record);
+void GroupLog::restoreSnapshot(std::uint64_t Sequence, bool Installed,
+                               Snapshot &Content) {
+  if (Installed || Content.base_index() > lastIndex())
+    clear(Content);
+  else
+    forgetUpTo(Content.base_index());
+  // A base below the first entry that was found belongs to a snapshot that a
+  // later one stands for: the entries between are released.
+  if (Content.base_index() >= m_BaseIndex) {
+    m_BaseIndex = Content.base_index();
+    m_BaseTerm = Content.term();
+    m_BaseMembership = Content.membership();
+    m_GuessedBase = false;
+  }
+  m_Last = Checkpoint{.m_Sequence = Sequence, .m_Base = Content.base_index()};
+  m_BytesSinceSnapshot = 0;
+  m_Restored = std::move(Content);
+}
+
+std::optional<GroupLog::Snapshot> GroupLog::takeRestored() {
+  if (m_Restored && m_BaseIndex > m_Restored->base_index())
+    throw base::UserError(base::ErrorKind::Internal,
+                          "group " + std::to_string(m_Number) +
+                              ": expected entries from " +
+                              std::to_string(m_Restored->base_index() + 1) +
+                              " on in the journal, found none before " +
+                              std::to_string(firstIndex()));
+  m_GuessedBase = false;
+  return std::exchange(m_Restored, std::nullopt);
+}
+
+GroupLog::Record GroupLog::makeRecord() const {
+  Record Content;
+  Content.set_number(m_Number);
+  return Content;
 }
 
 void GroupLog::setTerm(std::uint64_t Term, const std::string &Vote) {
   m_Term = Term;
   m_Vote = Vote;
-  GroupRecord Record;
-  Record.set_has_term(true);
-  Record.set_term(Term);
-  Record.set_vote(Vote);
-  write(Record);
+  Record Content = makeRecord();
+  Content.set_has_term(true);
+  Content.set_term(Term);
+  Content.set_vote(Vote);
+  write(Content);
 }
 
 void GroupLog::append(Entry Next) {
-  GroupRecord Record;
-  *Record.mutable_entry() = std::move(Next);
-  Record.set_commit(m_KnownCommit);
-  write(Record);
-  take(std::move(*Record.mutable_entry()));
+  Record Content = makeRecord();
+  *Content.mutable_entry() = std::move(Next);
+  Content.set_commit(m_KnownCommit);
+  const std::uint64_t Sequence = write(Content);
+  take(Sequence, std::move(*Content.mutable_entry()));
 }
 
 void GroupLog::install(const Snapshot &Content) {
-  GroupRecord Record;
-  *Record.mutable_snapshot() = Content;
-  write(Record);
-  m_Base = Content;
-  m_Base.clear_state();
-  m_Entries.clear();
-  m_EntryBytes = 0;
-  findMembership();
+  Record Written = makeRecord();
+  Written.set_installed(true);
+  Written.set_has_term(true);
+  Written.set_term(m_Term);
+  Written.set_vote(m_Vote);
+  *Written.mutable_snapshot() = Content;
+  const std::uint64_t Sequence = write(Written);
+  clear(Content);
+  m_Pending = Checkpoint{.m_Sequence = Sequence, .m_Base = m_BaseIndex};
 }
 
-void GroupLog::trim(std::uint64_t Index) {
-  const Membership Kept = membershipAt(Index);
-  while (!m_Entries.empty() && m_Entries.front().index() <= Index) {
-    m_EntryBytes -= m_Entries.front().ByteSizeLong();
-    m_Base.set_index(m_Entries.front().index());
-    m_Base.set_term(m_Entries.front().term());
-    m_Entries.pop_front();
-  }
-  *m_Base.mutable_membership() = Kept;
-  findMembership();
-}
-
-std::string GroupLog::compact(Snapshot Content) {
-  trim(Content.index());
-  m_JournalBytes = m_EntryBytes;
-  GroupRecord Record;
-  Record.set_identity(m_Identity);
-  Record.set_has_term(true);
-  Record.set_term(m_Term);
-  Record.set_vote(m_Vote);
-  *Record.mutable_snapshot() = std::move(Content);
-  for (const Entry &Each : m_Entries)
-    *Record.add_tail() = Each;
-  std::string Bytes = Record.SerializeAsString();
-  m_Base = std::move(*Record.mutable_snapshot());
-  m_Base.clear_state();
-  findMembership();
-  return Bytes;
-}
-
-std::string GroupLog::takeRestoredState() {
-  std::string State = std::move(*m_Base.mutable_state());
-  m_Base.clear_state();
-  return State;
+void GroupLog::checkpoint(const Snapshot &Content) {
+  Record Written = makeRecord();
+  Written.set_has_term(true);
+  Written.set_term(m_Term);
+  Written.set_vote(m_Vote);
+  Written.set_commit(m_KnownCommit);
+  *Written.mutable_snapshot() = Content;
+  const std::uint64_t Sequence = write(Written);
+  m_BytesSinceSnapshot = 0;
+  m_Pending =
+      Checkpoint{.m_Sequence = Sequence, .m_Base = Content.base_index()};
+}
+
+void GroupLog::leave() {
+  Record Written = makeRecord();
+  Written.set_left(true);
+  Written.set_has_term(true);
+  Written.set_term(m_Term);
+  Written.set_vote(m_Vote);
+  const std::uint64_t Sequence = write(Written);
+  clear({});
+  m_KnownCommit = 0;
+  m_Pending = Checkpoint{.m_Sequence = Sequence, .m_Base = 0};
+}
+
+void GroupLog::onSynced() {
+  if (!m_Pending)
+    return;
+  m_Last = std::exchange(m_Pending, std::nullopt);
+  forgetUpTo(m_Last->m_Base);
 }
 
 std::uint64_t GroupLog::lastTerm() const {
-  return m_Entries.empty() ? m_Base.term() : m_Entries.back().term();
+  return m_Places.empty() ? m_BaseTerm : m_Places.back().m_Term;
 }
 
 std::optional<std::uint64_t> GroupLog::termAt(std::uint64_t Index) const {
-  if (Index == m_Base.index())
-    return m_Base.term();
-  if (Index < m_Base.index() || Index > lastIndex())
+  if (Index == m_BaseIndex)
+    return m_BaseTerm;
+  if (Index < m_BaseIndex || Index > lastIndex())
     return std::nullopt;
-  return at(Index).term();
+  return placeOf(Index).m_Term;
 }
 
-const GroupLog::Entry &GroupLog::at(std::uint64_t Index) const {
+const GroupLog::Place &GroupLog::placeOf(std::uint64_t Index) const {
   base::checkInvariant(Index >= firstIndex() && Index <= lastIndex(),
-                       "group log: read outside of the kept entries");
-  return m_Entries[Index - firstIndex()];
+                       "group log: looked outside of the kept entries");
+  return m_Places[Index - firstIndex()];
+}
+
+const GroupLog::Entry *GroupLog::findInMemory(std::uint64_t Index) const {
+  const std::uint64_t First = lastIndex() + 1 - m_Entries.size();
+  return Index < First || Index > lastIndex() ? nullptr
+                                              : &m_Entries[Index - First];
+}
+
+GroupLog::Entry GroupLog::read(std::uint64_t Index) const {
+  if (const Entry *Known = findInMemory(Index))
+    return *Known;
+  auto Stored = messages::parseMessage<Record>(
+      m_Store.read(placeOf(Index).m_Sequence), "group journal");
+  base::checkInvariant(Stored.number() == m_Number &&
+                           Stored.entry().index() == Index,
+                       "group log: the store returned another entry");
+  return std::move(*Stored.mutable_entry());
 }
 
 const GroupLog::Membership &GroupLog::membership() const {
-  return m_MembershipIndex <= m_Base.index()
-             ? m_Base.membership()
-             : at(m_MembershipIndex).membership();
+  return m_Memberships.empty() ? m_BaseMembership
+                               : m_Memberships.rbegin()->second;
 }
 
 const GroupLog::Membership &GroupLog::membershipAt(std::uint64_t Index) const {
-  for (std::uint64_t At = std::min(Index, lastIndex()); At >= firstIndex();
-       --At)
-    if (this->at(At).has_membership())
-      return this->at(At).membership();
-  return m_Base.membership();
+  const auto Behind = m_Memberships.upper_bound(Index);
+  return Behind == m_Memberships.begin() ? m_BaseMembership
+                                         : std::prev(Behind)->second;
 }
 
-void GroupLog::findMembership() {
-  m_MembershipIndex = m_Base.index();
-  for (const Entry &Each : m_Entries)
-    if (Each.has_membership())
-      m_MembershipIndex = Each.index();
+std::uint64_t GroupLog::membershipIndex() const {
+  return m_Memberships.empty() ? m_BaseIndex : m_Memberships.rbegin()->first;
 }
 
-void GroupLog::write(const GroupRecord &Record) {
-  m_LastRecord = m_Sink.append(Record.SerializeAsString());
+std::uint64_t GroupLog::oldestNeeded() const {
+  std::uint64_t Oldest = m_Last ? m_Last->m_Sequence : m_FirstRecord;
+  if (!m_Places.empty())
+    Oldest = std::min(Oldest, m_Places.front().m_Sequence);
+  return Oldest;
+}
+
+std::uint64_t GroupLog::write(const Record &Content) {
+  const std::uint64_t Sequence = m_Store.append(Content.SerializeAsString());
+  if (m_FirstRecord == 0)
+    m_FirstRecord = Sequence;
+  return Sequence;
 }
 
 void GroupLog::truncate(std::uint64_t From) {
-  while (!m_Entries.empty() && m_Entries.back().index() >= From) {
+  while (lastIndex() >= From && !m_Places.empty()) {
+    m_Places.pop_back();
+    if (m_Entries.empty())
+      continue;
     m_EntryBytes -= m_Entries.back().ByteSizeLong();
     m_Entries.pop_back();
   }
-  if (m_MembershipIndex > lastIndex())
-    findMembership();
+  m_Memberships.erase(m_Memberships.lower_bound(From), m_Memberships.end());
 }
 
-void GroupLog::take(Entry Next) {
+void GroupLog::take(std::uint64_t Sequence, Entry Next) {
   truncate(Next.index());
+  // The oldest segments may begin in the middle of a log, with entries that
+  // later ones replace.
+  if (m_GuessedBase && (m_Places.empty() || Next.index() <= m_BaseIndex) &&
+      Next.index() != lastIndex() + 1) {
+    m_Places.clear();
+    m_BaseIndex = Next.index() - 1;
+  }
   base::checkInvariant(Next.index() == lastIndex() + 1,
                        "group log: an entry left a gap");
-  m_EntryBytes += Next.ByteSizeLong();
-  m_JournalBytes += Next.ByteSizeLong();
+  base::checkInvariant(Next.term() <= std::numeric_limits<std::uint32_t>::max(),
+                       "group log: a term beyond its range");
+  const std::uint64_t Bytes = Next.ByteSizeLong();
+  m_Places.push_back({.m_Sequence = Sequence,
+                      .m_Term = static_cast<std::uint32_t>(Next.term()),
+                      .m_Bytes = static_cast<std::uint32_t>(Bytes)});
   if (Next.has_membership())
-    m_MembershipIndex = Next.index();
+    m_Memberships[Next.index()] = Next.membership();
+  m_EntryBytes += Bytes;
+  m_BytesSinceSnapshot += Bytes;
   m_Entries.push_back(std::move(Next));
+  trimMemory();
+}
+
+void GroupLog::trimMemory() {
+  while (m_EntryBytes > m_MemoryBytes && m_Entries.size() > 1) {
+    m_EntryBytes -= m_Entries.front().ByteSizeLong();
+    m_Entries.pop_front();
+  }
+}
+
+void GroupLog::forgetUpTo(std::uint64_t Index) {
+  if (Index <= m_BaseIndex)
+    return;
+  m_BaseMembership = membershipAt(Index);
+  m_BaseTerm = termAt(Index).value_or(0);
+  m_Memberships.erase(m_Memberships.begin(), m_Memberships.upper_bound(Index));
+  while (m_BaseIndex < Index && !m_Places.empty()) {
+    m_Places.pop_front();
+    ++m_BaseIndex;
+  }
+  while (m_Entries.size() > m_Places.size()) {
+    m_EntryBytes -= m_Entries.front().ByteSizeLong();
+    m_Entries.pop_front();
+  }
+}
+
+/// Nothing is left but the place behind \p Base.
+void GroupLog::clear(const Snapshot &Base) {
+  m_BaseIndex = Base.base_index();
+  m_BaseTerm = Base.term();
+  m_BaseMembership = Base.membership();
+  m_Places.clear();
+  m_Entries.clear();
+  m_EntryBytes = 0;
+  m_Memberships.clear();
+  m_BytesSinceSnapshot = 0;
 }
 
 } // namespace psp::consensus
--- a/src/consensus/GroupReplication.cpp
+++ b/src/consensus/GroupReplication.cpp
@@ -3,6 +3,7 @@
 #include "base/Error.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace psp::consensus {
@@ -25,7 +26,9 @@
 }
 
 void Group::broadcast(base::TimePoint Now) {
-  m_HeartbeatAt = Now + m_Options.m_HeartbeatInterval;
+  // On a grid of the clock: all groups that this process leads send together.
+  const auto SinceGrid = Now.time_since_epoch() % m_Options.m_HeartbeatInterval;
+  m_HeartbeatAt = Now + m_Options.m_HeartbeatInterval - SinceGrid;
   for (const std::string &Each : receivers())
     sendAppend(Each, Now);
 }
@@ -72,9 +75,8 @@
   const std::uint64_t OnTheWay = bytesOnTheWay(Peer);
   while (Peer.m_Next <= m_Log.lastIndex() && Bytes < m_Options.m_BatchBytes &&
          OnTheWay + Bytes < m_Options.m_WindowBytes) {
-    const auto &Entry = m_Log.at(Peer.m_Next++);
-    Bytes += Entry.ByteSizeLong();
-    *Append.add_entries() = Entry;
+    Bytes += m_Log.bytesAt(Peer.m_Next);
+    *Append.add_entries() = m_Log.read(Peer.m_Next++);
   }
   Peer.m_SentBytes = OnTheWay + Bytes;
   if (Append.entries_size() > 0 || Unanswered)
@@ -87,14 +89,31 @@
 
 /// Of the state that is applied now.
 messages::fleet::GroupSnapshot Group::makeSnapshot() const {
+  const std::uint64_t Base = snapshotBase();
   messages::fleet::GroupSnapshot Content;
   Content.set_index(m_Applied);
-  Content.set_term(*m_Log.termAt(m_Applied));
-  *Content.mutable_membership() = m_Log.membershipAt(m_Applied);
+  Content.set_base_index(Base);
+  Content.set_term(*m_Log.termAt(Base));
+  *Content.mutable_membership() = m_Log.membershipAt(Base);
   Content.set_state(m_Machine.snapshot());
   return Content;
 }
 
+/// Where the log would begin with a snapshot taken now: behind what is applied,
+/// but no later than the oldest entry that the state refers to.
+std::uint64_t Group::snapshotBase() const {
+  const auto Oldest = m_Machine.oldestEntry();
+  const std::uint64_t Base = std::min(
+      {m_Applied, m_Log.lastIndex(), Oldest.value_or(m_Applied + 1) - 1});
+  return std::max(Base, m_Log.baseIndex());
+}
+
+std::uint64_t Group::oldestNeededAfterSnapshot() const {
+  const std::uint64_t First = snapshotBase() + 1;
+  return First <= m_Log.lastIndex() ? m_Log.sequenceOf(First)
+                                    : std::numeric_limits<std::uint64_t>::max();
+}
+
 std::uint64_t Group::bytesOnTheWay(const Progress &Peer) const {
   std::uint64_t Bytes = 0;
   const std::uint64_t First = std::max(Peer.held() + 1, m_Log.firstIndex());
@@ -102,7 +121,7 @@
        Index < Peer.m_Next && Index <= m_Log.lastIndex() &&
        Bytes < m_Options.m_WindowBytes;
        ++Index)
-    Bytes += m_Log.at(Index).ByteSizeLong();
+    Bytes += m_Log.bytesAt(Index);
   return Bytes;
 }
 
@@ -125,7 +144,7 @@
   }
   acceptLeader(Received, Now);
   const auto KnownTerm = m_Log.termAt(Append.previous_index());
-  const bool Compacted = Append.previous_index() < m_Log.snapshotIndex();
+  const bool Compacted = Append.previous_index() < m_Log.baseIndex();
   if (!Compacted && (!KnownTerm || *KnownTerm != Append.previous_term())) {
     auto &Reply = *send(Received.from()).mutable_append_reply();
     Reply.set_accepted(false);
@@ -138,12 +157,12 @@
   std::uint64_t Match = Append.previous_index();
   for (const auto &Entry : Append.entries()) {
     Match = Entry.index();
-    if (Entry.index() <= m_Log.snapshotIndex())
+    if (Entry.index() <= m_Log.baseIndex())
       continue;
     const auto Held = m_Log.termAt(Entry.index());
     if (Held && *Held == Entry.term())
       continue;
-    base::checkInvariant(Entry.index() > m_Commit,
+    base::checkInvariant(!Held || Entry.index() > m_Commit,
                          "group: a committed entry would be replaced");
     m_Log.append(Entry);
   }
@@ -194,12 +213,14 @@
   if (Content.index() > m_Commit) {
     m_Log.install(Content);
     m_Machine.restore(Content.state());
+    m_SnapshotBytes = Content.state().size();
     m_Applied = Content.index();
     m_Commit = Content.index();
   }
   auto &Reply = *send(Received.from()).mutable_append_reply();
   Reply.set_accepted(true);
-  Reply.set_match(Content.index());
+  // The entries behind its base come next.
+  Reply.set_match(Content.base_index());
 }
 
 void Group::advanceCommit(base::TimePoint Now) {
@@ -236,12 +257,18 @@
 void Group::apply(std::uint64_t Index) {
   while (m_Applied < Index) {
     ++m_Applied;
-    const auto &Entry = m_Log.at(m_Applied);
-    if (!Entry.command().empty())
-      m_Machine.apply(m_Applied, Entry.command(), Entry.wall_ms());
+    if (const auto *Known = m_Log.findInMemory(m_Applied))
+      applyEntry(*Known);
+    else
+      applyEntry(m_Log.read(m_Applied));
   }
 }
 
+void Group::applyEntry(const messages::fleet::GroupEntry &Entry) {
+  if (!Entry.command().empty())
+    m_Machine.apply(Entry.index(), Entry.command(), Entry.wall_ms());
+}
+
 void Group::advanceReads() {
   if (!isLeader())
     return;
@@ -260,27 +287,16 @@
   });
 }
 
-void Group::trimMemory() {
-  if (m_Log.entryBytes() < m_Options.m_MemoryBytes)
-    return;
-  std::uint64_t Index = m_Log.firstIndex();
-  std::uint64_t Bytes = 0;
-  while (Index < m_Applied && Bytes < m_Options.m_MemoryBytes / 3)
-    Bytes += m_Log.at(Index++).ByteSizeLong();
-  m_Log.trim(Index - 1);
+void Group::compactIfLong() {
+  if (m_Log.bytesSinceSnapshot() >=
+      std::max(m_Options.m_CompactBytes, 2 * m_SnapshotBytes))
+    writeSnapshot();
 }
 
-void Group::compactIfLong() {
-  trimMemory();
-  // A leader that finds nobody to hand over to does it in the end.
-  const std::uint64_t Limit = isLeader() ? 2 * m_CompactAt : m_CompactAt;
-  if (m_Log.journalBytes() < Limit)
-    return;
-  messages::fleet::GroupSnapshot Content = makeSnapshot();
-  // Encoded first: a record that is appended later must not be covered.
-  const std::uint64_t Covered = m_Log.lastRecord();
-  m_Checkpoint = GroupCheckpoint{.m_Record = m_Log.compact(std::move(Content)),
-                                 .m_Covered = Covered};
+void Group::writeSnapshot() {
+  const messages::fleet::GroupSnapshot Content = makeSnapshot();
+  m_SnapshotBytes = Content.state().size();
+  m_Log.checkpoint(Content);
 }
 
 } // namespace psp::consensus
--- a/src/consensus/MembershipPlan.cpp
+++ b/src/consensus/MembershipPlan.cpp
@@ -67,12 +67,13 @@
 }
 
 /// The node that should become a member next; null if none can.
-const MemberCandidate *pickSubstitute(const MembershipPlanInput &Input) {
+const MemberCandidate *pickSubstitute(const MembershipPlanInput &Input,
+                                      bool CaughtUp = true) {
   auto Counts = membersByDataCentre(Input);
   const MemberCandidate *Best = nullptr;
   for (const MemberCandidate &Each : Input.m_Candidates) {
-    if (!Each.m_Reachable || !Each.m_CaughtUp || Each.m_Retiring ||
-        isMember(Input.m_Current, Each.m_Identity))
+    if (!Each.m_Reachable || (CaughtUp && !Each.m_CaughtUp) ||
+        Each.m_Retiring || isMember(Input.m_Current, Each.m_Identity))
       continue;
     if (!Best || Counts[Each.m_DataCentre] < Counts[Best->m_DataCentre])
       Best = &Each;
@@ -113,6 +114,18 @@
   return Chosen;
 }
 
+std::set<std::string> planSubstitute(const MembershipPlanInput &Input) {
+  const auto &Members = Input.m_Current.members();
+  const bool Wanted =
+      static_cast<std::size_t>(Members.size()) < Input.m_TargetMembers ||
+      std::ranges::any_of(Members, [&](const GroupMember &Each) {
+        return isLeaving(Input, Each);
+      });
+  const MemberCandidate *Next = Wanted ? pickSubstitute(Input, false) : nullptr;
+  return Next ? std::set<std::string>{Next->m_Identity}
+              : std::set<std::string>{};
+}
+
 GroupMembership planFounders(const std::vector<MemberCandidate> &Candidates,
                              std::size_t Target) {
   MembershipPlanInput Input;
@@ -131,4 +144,20 @@
   return Input.m_Current;
 }
 
+std::vector<GroupMembership> planGroups(std::vector<MemberCandidate> Candidates,
+                                        std::size_t Target,
+                                        std::size_t Groups) {
+  std::map<std::string, std::size_t> Places;
+  std::vector<GroupMembership> All;
+  while (All.size() < Groups) {
+    std::ranges::stable_sort(Candidates, {}, [&](const MemberCandidate &Each) {
+      return Places[Each.m_Identity];
+    });
+    All.push_back(planFounders(Candidates, Target));
+    for (const GroupMember &Each : All.back().members())
+      ++Places[Each.id()];
+  }
+  return All;
+}
+
 } // namespace psp::consensus
--- a/src/consensus/MembershipPlan.h
+++ b/src/consensus/MembershipPlan.h
@@ -45,12 +45,22 @@
 std::set<std::string> planLearners(const MembershipPlanInput &Input,
                                    std::size_t Most);
 
+/// The node that should receive the log now because a member is missing or
+/// leaves; nobody while all are there.
+std::set<std::string> planSubstitute(const MembershipPlanInput &Input);
+
 /// The founders of a group among \p Candidates: up to \p Target, spread over
 /// data centres, an odd number.
 messages::fleet::GroupMembership
 planFounders(const std::vector<MemberCandidate> &Candidates,
              std::size_t Target);
 
+/// The founders of \p Groups groups, so that each candidate is in about as many
+/// of them as any other.
+std::vector<messages::fleet::GroupMembership>
+planGroups(std::vector<MemberCandidate> Candidates, std::size_t Target,
+           std::size_t Groups);
+
 } // namespace psp::consensus
 
 #endif
--- a/src/consensus/StateMachine.h
+++ b/src/consensus/StateMachine.h
@@ -5,6 +5,7 @@
 #define PSP_CONSENSUS_STATEMACHINE_H
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,11 @@
   virtual void apply(std::uint64_t Index, std::string_view Command,
                      std::uint64_t WallMs) = 0;
   virtual std::string snapshot() const = 0;
+  /// Index of the oldest entry that the state refers to, if any: the group
+  /// keeps entries from there on.
+  virtual std::optional<std::uint64_t> oldestEntry() const {
+    return std::nullopt;
+  }
   virtual void restore(std::string_view Snapshot) = 0;
 };
 
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -21,8 +21,17 @@
 namespace {
 
 constexpr base::Duration HouseInterval = base::milliseconds(500);
+/// Control is one group.
+constexpr std::uint32_t ControlGroup = 0;
 
 constexpr std::size_t IdentityBytes = 8;
+/// Control nodes beyond the members that follow the control group.
+constexpr std::size_t StandingLearners = 2;
+/// Groups of history for each node that keeps it at the foundation, and in all:
+/// enough to spread over more nodes later, few enough for idle ones to cost
+/// little.
+constexpr std::size_t GroupsPerNode = 2;
+constexpr std::size_t MostGroups = 64;
 
 /// Founders know each other by the addresses that all were told, so the first
 /// identity of a founder's disk is made from its address.
@@ -63,16 +72,22 @@
           .m_Nodes = NODE_CONTROL,
           .m_Folder = std::filesystem::path(Settings.m_DataFolder) / "control",
           .m_FreshIdentity = freshIdentity(Settings),
+          .m_Always = ControlGroup,
           .m_Group = {.m_Seed = Seed},
-          .m_TargetMembers = 2 * Settings.m_ToleratedLosses + 1},
-      m_Machine, m_Node.hub(), m_Node.nodes(), m_Node.log(),
-      link::GroupHost::Handlers{.m_OnProgress = [this] { onProgress(); }});
+          .m_TargetMembers = 2 * Settings.m_ToleratedLosses + 1,
+          .m_StandingLearners = StandingLearners},
+      m_Node.hub(), m_Node.nodes(), m_Node.log(),
+      link::GroupHost::Handlers{
+          .m_MakeState = [this](std::uint32_t) -> consensus::StateMachine & {
+            return m_Machine;
+          },
+          .m_OnProgress = [this](std::uint32_t) { onProgress(); }});
 }
 
 void Coordinator::run() {
   const node::NodeSettings &Settings = m_Node.settings();
   m_Group->start();
-  m_Node.start(m_Group->group().identity(),
+  m_Node.start(m_Group->identity(),
                {.m_OnMessage =
                     [this](const NodeState &From, LinkMessage &Message) {
                       onMessage(From, Message);
@@ -80,14 +95,14 @@
                 .m_OnUp = [this](const NodeState &Peer) { onUp(Peer); },
                 .m_OnDown = [](const NodeState &) {},
                 .m_OnStop = [this] { stop(); }});
-  if (m_Group->group().identity() == founderIdentity(Settings.m_Host)) {
+  if (m_Group->identity() == founderIdentity(Settings.m_Host)) {
     messages::fleet::GroupMembership Founders;
     for (const std::string &Host : Settings.m_SeedHosts) {
       auto &Member = *Founders.add_members();
       Member.set_id(founderIdentity(Host));
       Member.set_host(Host);
     }
-    m_Group->found(Founders);
+    m_Group->found(ControlGroup, Founders);
   }
   m_Server = std::make_unique<web::HttpServer>(
       m_Node.io(),
@@ -113,6 +128,9 @@
         asio::detached);
   } else if (Message.has_reply()) {
     m_Forwarded.onReply(Message.reply());
+  } else if (Message.has_leaders()) {
+    for (const auto &Each : Message.leaders().leaders())
+      m_HistoryLeaders.merge(Each);
   }
 }
 
@@ -122,8 +140,8 @@
     *Endpoints.mutable_endpoints()->add_endpoints() = Each;
   if (Endpoints.has_endpoints())
     m_Node.hub().send(Peer.name(), Endpoints);
-  if (m_Group->group().isCurrent())
-    m_Node.hub().send(Peer.name(), configurationMessage());
+  if (group().isCurrent())
+    m_Node.hub().send(Peer.name(), configurationMessage(Peer.kind()));
 }
 
 asio::awaitable<void> Coordinator::serveRequest(std::string From,
@@ -137,9 +155,9 @@
 
 asio::awaitable<Coordinator::Reply> Coordinator::execute(Request Asked,
                                                          bool MayForward) {
-  if (m_Group->group().isSettledLeader())
+  if (group().isSettledLeader())
     co_return co_await executeAsLeader(std::move(Asked));
-  const std::string Leader = m_Group->leaderNode();
+  const std::string Leader = m_Group->leaderNode(ControlGroup);
   if (MayForward && !Leader.empty() && Leader != m_Node.settings().m_Name)
     co_return co_await forward(Leader, std::move(Asked));
   Reply Answer;
@@ -164,13 +182,17 @@
     co_return Answer;
   }
   link::Waiter Waiting(m_Node.io());
-  if (Asked.has_submit()) {
+  if (Asked.has_submit() || Asked.has_retire()) {
     messages::fleet::ControlGroupCommand Command;
-    *Command.mutable_configuration() = Asked.submit();
-    const auto Index = m_Group->propose(Command.SerializeAsString());
+    if (Asked.has_submit())
+      *Command.mutable_configuration() = Asked.submit();
+    else
+      Command.mutable_retire()->set_member(Asked.retire().node());
+    const auto Index =
+        m_Group->propose(ControlGroup, Command.SerializeAsString());
     if (!Index)
       co_return Answer;
-    if (m_Group->group().commitIndex() < *Index) {
+    if (group().commitIndex() < *Index) {
       m_CommitWaiters[*Index] = &Waiting;
       const bool Committed = co_await Waiting.wait(m_Options.m_ForwardTimeout);
       m_CommitWaiters.erase(*Index);
@@ -179,7 +201,7 @@
     }
     Answer.set_kind(messages::fleet::REPLY_OK);
   } else if (Asked.has_read()) {
-    const auto Ticket = m_Group->beginRead();
+    const auto Ticket = m_Group->beginRead(ControlGroup);
     if (!Ticket)
       co_return Answer;
     m_ReadWaiters[*Ticket] = &Waiting;
@@ -209,9 +231,13 @@
   co_return Answer.value_or(Failed);
 }
 
+const consensus::Group &Coordinator::group() const {
+  return *m_Group->find(ControlGroup);
+}
+
 /// Wakes whoever waits for the group, and tells others of a new state.
 void Coordinator::onProgress() {
-  const consensus::Group &Members = m_Group->group();
+  const consensus::Group &Members = group();
   if (m_WaitTerm != Members.term()) {
     m_WaitTerm = Members.term();
     m_Tokens.reset(base::readMonotonic());
@@ -223,7 +249,7 @@
   for (const auto &[Index, Waiting] : m_CommitWaiters)
     if (Index <= Members.commitIndex())
       Waiting->fire();
-  for (const std::uint64_t Ticket : m_Group->group().takeReads())
+  for (const std::uint64_t Ticket : m_Group->takeReads(ControlGroup))
     if (const auto Found = m_ReadWaiters.find(Ticket);
         Found != m_ReadWaiters.end())
       Found->second->fire();
@@ -241,25 +267,30 @@
       .set(static_cast<std::int64_t>(m_Machine.version()));
   m_Node.log().write("configuration_in_force",
                      {{"version", m_Machine.version()}});
-  const LinkMessage Message = configurationMessage();
-  m_Node.broadcast(Message, NODE_ENTRY);
-  m_Node.broadcast(Message, NODE_HISTORY);
+  m_Node.broadcast(configurationMessage(NODE_ENTRY), NODE_ENTRY);
+  m_Node.broadcast(configurationMessage(NODE_HISTORY), NODE_HISTORY);
 }
 
-Coordinator::LinkMessage Coordinator::configurationMessage() const {
+Coordinator::LinkMessage
+Coordinator::configurationMessage(messages::fleet::NodeKind For) const {
   LinkMessage Message;
   auto &Update = *Message.mutable_configuration();
   Update.set_version(m_Machine.version());
-  Update.set_document(m_Machine.document());
-  *Update.mutable_history_founders() = m_Machine.historyFounders();
+  Update.set_history_groups(
+      static_cast<std::uint32_t>(m_Machine.historyGroups().size()));
+  if (For == NODE_HISTORY) {
+    *Update.mutable_founders() = m_Machine.historyGroups();
+    *Update.mutable_retiring() = m_Machine.retiring();
+  } else {
+    Update.set_document(m_Machine.document());
+  }
   Update.set_entry_instances(static_cast<std::uint32_t>(m_MostEntries));
   return Message;
 }
 
-/// Chooses the founders of the history group, at the leader, once.
+/// Chooses the founders of the history groups, at the leader, once.
 void Coordinator::foundHistory() {
-  if (!m_Group->group().isSettledLeader() ||
-      m_Machine.historyFounders().members_size() > 0)
+  if (!group().isSettledLeader() || !m_Machine.historyGroups().empty())
     return;
   std::vector<consensus::MemberCandidate> Candidates;
   for (const NodeState &Each : m_Node.nodes().ofKind(NODE_HISTORY))
@@ -279,17 +310,21 @@
   if (Now - *m_EnoughHistoryAt < m_Options.m_FoundDelay)
     return;
   messages::fleet::ControlGroupCommand Command;
-  *Command.mutable_found()->mutable_founders() =
-      consensus::planFounders(Candidates, Target);
-  m_Node.log().write("history_founding",
-                     {{"members", static_cast<std::uint64_t>(Target)}});
-  m_Group->propose(Command.SerializeAsString());
+  const std::size_t Groups =
+      std::min(GroupsPerNode * Candidates.size(), MostGroups);
+  for (const auto &Founders :
+       consensus::planGroups(std::move(Candidates), Target, Groups))
+    *Command.mutable_found()->add_groups() = Founders;
+  m_Node.log().write(
+      "history_founding",
+      {{"groups", Groups}, {"members", static_cast<std::uint64_t>(Target)}});
+  m_Group->propose(ControlGroup, Command.SerializeAsString());
 }
 
 /// Whether what this node is told reaches the entry instances.
 bool Coordinator::isInContact() {
   const std::size_t Entries = m_Node.reachedNodes(NODE_ENTRY);
-  return !m_Group->leaderNode().empty() ||
+  return !m_Group->leaderNode(ControlGroup).empty() ||
          (Entries > 0 && Entries * 2 >= m_MostEntries);
 }
 
@@ -318,14 +353,14 @@
   const base::TimePoint Now = base::readMonotonic();
   const std::vector<EndpointState> Silent = m_Endpoints.expire(Now);
   // A node that is cut off itself can't tell who is silent.
-  if (!m_Group->leaderNode().empty())
+  if (!m_Group->leaderNode(ControlGroup).empty())
     for (const EndpointState &Each : Silent)
       spread(Each);
   const std::size_t Entries = m_Node.reachedNodes(NODE_ENTRY);
   if (Entries > m_MostEntries) {
     m_MostEntries = Entries;
-    if (m_Group->group().isCurrent())
-      m_Node.broadcast(configurationMessage(), NODE_ENTRY);
+    if (group().isCurrent())
+      m_Node.broadcast(configurationMessage(NODE_ENTRY), NODE_ENTRY);
   }
   foundHistory();
   m_HouseTimer.expires_after(HouseInterval);
--- a/src/coordinator/Coordinator.h
+++ b/src/coordinator/Coordinator.h
@@ -9,6 +9,7 @@
 #include "coordinator/TokenDesk.h"
 #include "fleet/ControlMachine.h"
 #include "fleet/EndpointDirectory.h"
+#include "fleet/LeaderTable.h"
 #include "fleet/RouteTable.h"
 #include "fleet/ServingConfiguration.h"
 #include "link/GroupHost.h"
@@ -58,9 +59,10 @@
   boost::asio::awaitable<Reply> forward(const std::string &Node, Request Asked);
 
   // The group.
+  const consensus::Group &group() const;
   void onProgress();
   void publishConfiguration();
-  LinkMessage configurationMessage() const;
+  LinkMessage configurationMessage(messages::fleet::NodeKind For) const;
   void foundHistory();
   bool isInContact();
 
@@ -76,6 +78,10 @@
   boost::asio::awaitable<ControlAnswer> submit(SubmitCall Call);
   boost::asio::awaitable<ControlAnswer> read();
   boost::asio::awaitable<ControlAnswer> retire(RetireCall Call);
+  boost::asio::awaitable<ControlAnswer> startRetirement(std::string Member);
+  boost::asio::awaitable<bool> hasRetired(std::string Node);
+  boost::asio::awaitable<Reply> askHistory(std::uint32_t Group, Request Asked);
+  std::size_t historyNodesBeside(const std::string &Member) const;
 
   void stop();
 
@@ -86,6 +92,7 @@
   fleet::ControlMachine m_Machine;
   fleet::ServingConfiguration m_Current; ///< What the machine holds, decoded.
   fleet::EndpointDirectory m_Endpoints;
+  fleet::LeaderTable m_HistoryLeaders;
   std::unique_ptr<link::GroupHost> m_Group;
   link::RequestTable m_Forwarded;
   TokenDesk m_Tokens;
--- a/src/coordinator/CoordinatorCalls.cpp
+++ b/src/coordinator/CoordinatorCalls.cpp
@@ -3,6 +3,11 @@
 #include "base/Error.h"
 #include "metrics/Names.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
 namespace psp::coordinator {
 
 namespace asio = boost::asio;
@@ -109,30 +114,87 @@
   co_return DocumentAnswer(Answer.text());
 }
 
-/// Asks history nodes in turn until one that leads answers.
+/// Starts a retirement, or tells how far it is.
 asio::awaitable<ControlAnswer> Coordinator::retire(RetireCall Call) {
+  const fleet::NodeState *Target = m_Node.nodes().find(Call.m_Node);
+  if (!Target || Target->kind() != NODE_HISTORY)
+    co_return Failed(ErrorKind::NotFound, "no such node");
+  const std::string Member = Target->member();
+  ControlAnswer Answer = Done{};
+  if (Call.m_Start) {
+    Answer = co_await startRetirement(Member);
+  } else {
+    const bool Retired = co_await hasRetired(Call.m_Node);
+    Answer = RetireAnswer(Retired);
+  }
+  const auto *Progress = std::get_if<RetireAnswer>(&Answer);
+  m_Node.log().write("retirement_asked",
+                     {{"target", Call.m_Node},
+                      {"start", Call.m_Start ? "yes" : "no"},
+                      {"outcome", std::holds_alternative<Failed>(Answer)
+                                      ? std::get<Failed>(Answer).m_Detail
+                                      : std::string("taken")},
+                      {"done", Progress && Progress->m_Done ? "yes" : "no"}});
+  co_return Answer;
+}
+
+std::size_t Coordinator::historyNodesBeside(const std::string &Member) const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      m_Node.nodes().ofKind(NODE_HISTORY), [&](const fleet::NodeState &Each) {
+        return Each.member() != Member &&
+               !m_Machine.isRetiring(Each.member()) &&
+               m_Node.hub().isUp(Each.name());
+      }));
+}
+
+asio::awaitable<ControlAnswer>
+Coordinator::startRetirement(std::string Member) {
+  const std::size_t Needed = 2 * m_Node.settings().m_ToleratedLosses + 1;
+  if (!m_Machine.isRetiring(Member) && historyNodesBeside(Member) < Needed)
+    co_return Failed(ErrorKind::VersionConflict, "too few nodes would remain");
   Request Asked;
-  Asked.mutable_retire()->set_node(Call.m_Node);
-  Asked.mutable_retire()->set_start(Call.m_Start);
-  for (const fleet::NodeState &Each : m_Node.nodes().ofKind(NODE_HISTORY)) {
-    if (!m_Node.hub().isUp(Each.name()))
-      continue;
-    const Reply Answer = co_await forward(Each.name(), Asked);
-    if (Answer.kind() == messages::fleet::REPLY_NOT_LEADER ||
-        Answer.kind() == messages::fleet::REPLY_UNAVAILABLE)
-      continue;
-    m_Node.log().write(
-        "retirement_asked",
-        {{"target", Call.m_Node},
-         {"start", Call.m_Start ? "yes" : "no"},
-         {"outcome", messages::fleet::ReplyKind_Name(Answer.kind())},
-         {"done", Answer.done() ? "yes" : "no"}});
-    if (!Call.m_Start && Answer.kind() == messages::fleet::REPLY_OK)
-      co_return RetireAnswer(Answer.done());
-    co_return answerOf(Answer);
+  Asked.mutable_retire()->set_node(Member);
+  Asked.mutable_retire()->set_start(true);
+  co_return answerOf(co_await execute(std::move(Asked), true));
+}
+
+/// Whether the leaders of all groups say that \p Node is no member.
+asio::awaitable<bool> Coordinator::hasRetired(std::string Node) {
+  const auto Groups =
+      static_cast<std::uint32_t>(m_Machine.historyGroups().size());
+  struct Outcome {
+    std::uint32_t m_Open = 0;
+    bool m_Retired = true;
+  };
+  auto Found = std::make_shared<Outcome>();
+  auto End = std::make_shared<link::Waiter>(m_Node.io());
+  for (std::uint32_t Group = 0; Group < Groups; ++Group) {
+    ++Found->m_Open;
+    asio::co_spawn(
+        m_Node.io(),
+        [](Coordinator &Self, std::uint32_t Number, std::string Target,
+           std::shared_ptr<Outcome> Result,
+           std::shared_ptr<link::Waiter> Finished) -> asio::awaitable<void> {
+          Request Asked;
+          Asked.mutable_retire()->set_node(Target);
+          const Reply Answer =
+              co_await Self.askHistory(Number, std::move(Asked));
+          Result->m_Retired = Result->m_Retired && Answer.done();
+          if (--Result->m_Open == 0 || !Result->m_Retired)
+            Finished->fire();
+        }(*this, Group, Node, Found, End),
+        asio::detached);
   }
-  co_return Failed(ErrorKind::QuorumUnavailable,
-                   "no leader of the history group was found");
+  const bool Answered = co_await End->wait(m_Options.m_ForwardTimeout);
+  co_return Groups > 0 && Answered && Found->m_Retired;
+}
+
+/// Asks the leader of a group of history, as far as it is known.
+asio::awaitable<Coordinator::Reply> Coordinator::askHistory(std::uint32_t Group,
+                                                            Request Asked) {
+  Asked.set_group(Group);
+  co_return co_await forward(m_HistoryLeaders.leaderOf(Group),
+                             std::move(Asked));
 }
 
 } // namespace psp::coordinator
--- a/src/fleet/ControlMachine.cpp
+++ b/src/fleet/ControlMachine.cpp
@@ -2,6 +2,8 @@
 
 #include "messages/Parse.h"
 
+#include <algorithm>
+
 namespace psp::fleet {
 
 void ControlMachine::apply(std::uint64_t /*Index*/, std::string_view Command,
@@ -13,12 +15,20 @@
     *m_State.mutable_configuration() = Read.configuration();
     ++m_Revision;
   }
-  if (Read.has_found() && historyFounders().members_size() == 0) {
-    *m_State.mutable_history_founders() = Read.found().founders();
+  if (Read.has_found() && historyGroups().empty()) {
+    *m_State.mutable_history_groups() = Read.found().groups();
+    ++m_Revision;
+  }
+  if (Read.has_retire() && !isRetiring(Read.retire().member())) {
+    m_State.add_retiring(Read.retire().member());
     ++m_Revision;
   }
 }
 
+bool ControlMachine::isRetiring(const std::string &Member) const {
+  return std::ranges::find(retiring(), Member) != retiring().end();
+}
+
 std::string ControlMachine::snapshot() const {
   return m_State.SerializeAsString();
 }
--- a/src/fleet/ControlMachine.h
+++ b/src/fleet/ControlMachine.h
@@ -1,6 +1,7 @@
 /// \file
 /// The replicated state of control: the configuration with the highest
-/// version, and the founders of the history group.
+/// version, the founders of the
+/// history groups, and the disks that are to be emptied.
 
 #ifndef PSP_FLEET_CONTROLMACHINE_H
 #define PSP_FLEET_CONTROLMACHINE_H
@@ -26,10 +27,12 @@
   const std::string &document() const {
     return m_State.configuration().document();
   }
-  /// Empty before the history group was founded.
-  const messages::fleet::GroupMembership &historyFounders() const {
-    return m_State.history_founders();
-  }
+  /// Founders of each group of history, by number; empty before the groups were
+  /// founded. Their count never changes.
+  const auto &historyGroups() const { return m_State.history_groups(); }
+  /// Identities of the disks that are to be emptied.
+  const auto &retiring() const { return m_State.retiring(); }
+  bool isRetiring(const std::string &Member) const;
   /// Counts changes, so that a publisher notices them.
   std::uint64_t revision() const { return m_Revision; }
 
--- a/src/fleet/NodeDirectory.cpp
+++ b/src/fleet/NodeDirectory.cpp
@@ -13,6 +13,10 @@
   };
   if (!Fresh && Order(News) <= Order(Known.m_State))
     return false;
+  if (Known.m_State.member() != News.member())
+    m_ByMember.erase(Known.m_State.member());
+  if (!News.member().empty())
+    m_ByMember[News.member()] = News.name();
   Known.m_State = News;
   Known.m_HeardAt = Now;
   return true;
@@ -26,7 +30,10 @@
 
 void NodeDirectory::forget(base::Duration Age, base::TimePoint Now) {
   std::erase_if(m_Rows, [&](const auto &Entry) {
-    return Now - Entry.second.m_HeardAt > Age;
+    if (Now - Entry.second.m_HeardAt <= Age)
+      return false;
+    m_ByMember.erase(Entry.second.m_State.member());
+    return true;
   });
 }
 
@@ -36,10 +43,8 @@
 }
 
 const NodeState *NodeDirectory::findMember(const std::string &Identity) const {
-  for (const auto &[Name, Known] : m_Rows)
-    if (Known.m_State.member() == Identity)
-      return &Known.m_State;
-  return nullptr;
+  const auto Found = m_ByMember.find(Identity);
+  return Found == m_ByMember.end() ? nullptr : find(Found->second);
 }
 
 std::vector<NodeState> NodeDirectory::ofKind(NodeKind Kind) const {
--- a/src/fleet/NodeDirectory.h
+++ b/src/fleet/NodeDirectory.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace psp::fleet {
@@ -40,6 +41,8 @@
     base::TimePoint m_HeardAt;
   };
   std::map<std::string, Row> m_Rows;
+  /// Names of nodes with a disk, by its identity.
+  std::unordered_map<std::string, std::string> m_ByMember;
 };
 
 } // namespace psp::fleet
--- /dev/null
+++ b/src/fleet/ProgramGroups.h
@@ -0,0 +1,22 @@
+/// \file
+/// Which group of history a program belongs to.
+
+#ifndef PSP_FLEET_PROGRAMGROUPS_H
+#define PSP_FLEET_PROGRAMGROUPS_H
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace psp::fleet {
+
+/// The group of \p Program, the same for good since \p Groups never changes.
+std::uint32_t groupOfProgram(const std::string &Organisation,
+                             const std::string &Program, std::size_t Groups);
+
+/// The group whose leader grants places on the engines of \p Service.
+std::uint32_t dispatchingGroup(const std::string &Service, std::size_t Groups);
+
+} // namespace psp::fleet
+
+#endif
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -147,7 +147,13 @@
 
 /// Reserves the turn's tokens and fetches the turns before it.
 asio::awaitable<std::optional<Refusal>> Call::beginTurn() {
+  const auto Group = m_Owner.groupOf(organisationName(), m_Facts.m_Program);
+  if (!Group)
+    co_return Refusal(ErrorKind::QuorumUnavailable,
+                      "the groups of history aren't known yet",
+                      m_Owner.retryWithoutLeader());
   messages::fleet::Request Asked;
+  Asked.set_group(*Group);
   auto &Begin = *Asked.mutable_begin();
   Begin.set_turn(m_Facts.m_Id);
   Begin.set_organisation(organisationName());
@@ -167,7 +173,7 @@
   m_TurnOpen = true;
   std::optional<Reply> Answer;
   const TimePoint Until =
-      base::readMonotonic() + std::min(m_Owner.leaderWait(), timeLeft());
+      base::readMonotonic() + std::min(m_Owner.leaderWait(*Group), timeLeft());
   // Without a time to come back the leader means: wait on, in its queue.
   do {
     Answer = co_await m_Owner.askLeader(messages::fleet::NODE_HISTORY, Asked,
@@ -246,6 +252,7 @@
   End.set_turn(m_Facts.m_Id);
   End.set_organisation(organisationName());
   End.set_program(m_Facts.m_Program);
+  End.set_service(m_Service);
   End.set_tokens(m_Tokens);
   End.set_endpoint(m_RanOn);
   End.set_event_gap_us(m_EventGapUs);
@@ -264,6 +271,8 @@
 asio::awaitable<bool> Call::recordTurn() {
   messages::fleet::Request Asked;
   *Asked.mutable_end() = makeEnd(true);
+  Asked.set_group(
+      m_Owner.groupOf(organisationName(), m_Facts.m_Program).value_or(0));
   const auto Answer = co_await m_Owner.askLeader(messages::fleet::NODE_HISTORY,
                                                  Asked, timeLeft());
   const bool Recorded = Answer && Answer->kind() == messages::fleet::REPLY_OK;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Error.h"
 #include "base/Hash.h"
+#include "fleet/ProgramGroups.h"
 #include "gateway/CallerSession.h"
 #include "gateway/RetryTime.h"
 #include "metrics/Names.h"
@@ -52,9 +53,8 @@
       m_Placement({.m_DataCentre = m_Node.settings().m_DataCentre,
                    .m_Seed = seedOf(m_Node.settings().m_Name)}),
       m_Pool(m_Node.io(), {}), m_Requests(m_Node.io()),
-      m_HistorySearch(m_Node.io()), m_ControlSearch(m_Node.io()),
-      m_Acceptor(m_Node.io()), m_HouseTimer(m_Node.io()),
-      m_StopTimer(m_Node.io()),
+      m_ControlSearch(m_Node.io()), m_Acceptor(m_Node.io()),
+      m_HouseTimer(m_Node.io()), m_StopTimer(m_Node.io()),
       m_Random(seedOf(m_Node.settings().m_Name + "/draw")) {}
 
 void Gateway::run() {
@@ -103,6 +103,8 @@
     m_Requests.onReply(Message.reply());
   else if (Message.has_configuration())
     onConfiguration(Message.configuration());
+  else if (Message.has_leaders())
+    onLeaders(Message.leaders());
   else if (Message.has_endpoints())
     for (const auto &Each : Message.endpoints().endpoints())
       if (m_Endpoints.merge(Each, false, base::readMonotonic()))
@@ -117,6 +119,7 @@
     const messages::fleet::ConfigurationUpdate &Update) {
   m_EntryInstances = std::max(m_EntryInstances, Update.entry_instances());
   m_Rates.setInstances(m_EntryInstances);
+  m_HistoryGroups = std::max(m_HistoryGroups, Update.history_groups());
   const std::uint64_t Held = m_Table ? m_Table->configuration().m_Version : 0;
   if (Update.version() <= Held)
     return;
@@ -136,12 +139,27 @@
   }
 }
 
-LeaderSearch &Gateway::searchFor(NodeKind Kind) {
-  return Kind == NODE_HISTORY ? m_HistorySearch : m_ControlSearch;
+void Gateway::onLeaders(const messages::fleet::LeaderUpdate &News) {
+  for (const auto &Each : News.leaders())
+    if (m_Leaders.merge(Each))
+      searchFor(NODE_HISTORY, Each.group()).hear(Each.node());
 }
 
-std::string Gateway::pickNode(NodeKind Kind) {
-  const LeaderSearch &Search = searchFor(Kind);
+LeaderSearch &Gateway::searchFor(NodeKind Kind, std::uint32_t Group) {
+  return Kind == NODE_HISTORY
+             ? m_HistorySearches.try_emplace(Group, io()).first->second
+             : m_ControlSearch;
+}
+
+std::optional<std::uint32_t>
+Gateway::groupOf(const std::string &Organisation,
+                 const std::string &Program) const {
+  if (m_HistoryGroups == 0)
+    return std::nullopt;
+  return fleet::groupOfProgram(Organisation, Program, m_HistoryGroups);
+}
+
+std::string Gateway::pickNode(NodeKind Kind, const LeaderSearch &Search) {
   for (const std::string &Believed : {Search.leader(), Search.hinted()})
     if (!Believed.empty() && m_Node.hub().isUp(Believed))
       return Believed;
@@ -156,17 +174,17 @@
 Gateway::askLeader(NodeKind Kind, messages::fleet::Request Asked,
                    base::Duration Limit) {
   const base::TimePoint Until = base::readMonotonic() + Limit;
-  LeaderSearch &Search = searchFor(Kind);
+  LeaderSearch &Search = searchFor(Kind, Asked.group());
   while (base::readMonotonic() < Until) {
     const auto Entry = co_await Search.enter(Until - base::readMonotonic());
     if (Entry == LeaderSearch::Entry::TimedOut)
       break;
-    const std::string Node = pickNode(Kind);
+    const std::string Node = pickNode(Kind, Search);
     auto Answer = co_await askNode(Node, Asked, Until - base::readMonotonic());
     const bool Led =
         Answer && Answer->kind() != messages::fleet::REPLY_NOT_LEADER;
     if (Led) {
-      Search.found(Node);
+      Search.found(Node, base::readMonotonic());
       if (Kind == NODE_HISTORY)
         m_LeaderAnsweredAt = base::readMonotonic();
     } else {
@@ -206,9 +224,11 @@
   co_await Timer.async_wait(asio::use_awaitable);
 }
 
-base::Duration Gateway::leaderWait() const {
+base::Duration Gateway::leaderWait(std::uint32_t Group) {
+  const LeaderSearch &Search = searchFor(NODE_HISTORY, Group);
   const bool Missing =
-      base::readMonotonic() - m_LeaderAnsweredAt > m_Options.m_LeaderWait;
+      Search.leader().empty() &&
+      base::readMonotonic() - Search.answeredAt() > m_Options.m_LeaderWait;
   return Missing ? m_Options.m_MissingLeaderWait : m_Options.m_LeaderWait;
 }
 
@@ -225,6 +245,7 @@
 
 asio::awaitable<void> Gateway::record(EndTurn End) {
   messages::fleet::Request Asked;
+  Asked.set_group(groupOf(End.organisation(), End.program()).value_or(0));
   *Asked.mutable_end() = std::move(End);
   const auto Answer =
       co_await askLeader(NODE_HISTORY, Asked, m_Options.m_RecordLimit);
@@ -248,13 +269,15 @@
   return m_Options.m_ProbeAfter + m_EntryInstances * m_Options.m_ProbeSpread;
 }
 
-/// Asks the leader of history for a sign of life when no call did.
+/// Asks a leader of history for a sign of life when no call did.
 void Gateway::probeLeader() {
-  if (m_Probing || base::readMonotonic() - m_LeaderAnsweredAt < probeInterval())
+  if (m_Probing || m_HistoryGroups == 0 ||
+      base::readMonotonic() - m_LeaderAnsweredAt < probeInterval())
     return;
   m_Probing = true;
   messages::fleet::Request Asked;
   Asked.mutable_retire(); // Names no node, so it changes nothing.
+  Asked.set_group(m_ProbedGroup++ % m_HistoryGroups);
   asio::co_spawn(
       io(),
       [this, Asked]() -> asio::awaitable<void> {
@@ -273,7 +296,7 @@
     m_Node.log().write(
         "readiness_changed",
         {{"ready", Ready ? "yes" : "no"},
-         {"leader", m_HistorySearch.leader()},
+         {"history_groups", m_HistoryGroups},
          {"configuration", m_Table ? m_Table->configuration().m_Version : 0}});
   m_HouseTimer.expires_after(HouseInterval);
   m_HouseTimer.async_wait([this](boost::system::error_code Error) {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -5,6 +5,7 @@
 #define PSP_GATEWAY_GATEWAY_H
 
 #include "fleet/EndpointDirectory.h"
+#include "fleet/LeaderTable.h"
 #include "fleet/RouteTable.h"
 #include "gateway/CallProtocol.h"
 #include "gateway/EndpointChannel.h"
@@ -70,13 +71,17 @@
 
   void run();
 
-  /// Asks the leader of the nodes of \p Kind, whoever it is. Nothing if none
-  /// answered before \p Limit.
+  /// Asks the leader of the nodes of \p Kind, and of the group of history that
+  /// \p Asked names, whoever it is. Nothing if none answered before \p Limit.
   boost::asio::awaitable<std::optional<messages::fleet::Reply>>
   askLeader(messages::fleet::NodeKind Kind, messages::fleet::Request Asked,
             base::Duration Limit);
-  /// How long a call may wait for the leader of history, as far as known.
-  base::Duration leaderWait() const;
+  /// The group of history that keeps \p Program; nothing before control has
+  /// founded the groups.
+  std::optional<std::uint32_t> groupOf(const std::string &Organisation,
+                                       const std::string &Program) const;
+  /// How long a call may wait for the leader of \p Group, as far as known.
+  base::Duration leaderWait(std::uint32_t Group);
   /// When a caller should come back while no leader of history is there.
   base::Duration retryWithoutLeader();
   /// Has the turn recorded, without waiting for it.
@@ -122,8 +127,11 @@
   void housekeeping();
   void probeLeader();
   base::Duration probeInterval() const;
-  std::string pickNode(messages::fleet::NodeKind Kind);
-  LeaderSearch &searchFor(messages::fleet::NodeKind Kind);
+  void onLeaders(const messages::fleet::LeaderUpdate &News);
+  std::string pickNode(messages::fleet::NodeKind Kind,
+                       const LeaderSearch &Search);
+  /// \p Group counts for history only.
+  LeaderSearch &searchFor(messages::fleet::NodeKind Kind, std::uint32_t Group);
   boost::asio::awaitable<std::optional<messages::fleet::Reply>>
   askNode(const std::string &Node, messages::fleet::Request &Asked,
           base::Duration Limit);
@@ -143,7 +151,10 @@
   RateShares m_Rates;
   KnownPrograms m_Programs;
   link::RequestTable m_Requests;
-  LeaderSearch m_HistorySearch;
+  std::uint32_t m_HistoryGroups = 0; ///< Zero until they are founded.
+  std::uint32_t m_ProbedGroup = 0;
+  fleet::LeaderTable m_Leaders;
+  std::map<std::uint32_t, LeaderSearch> m_HistorySearches; ///< By group.
   LeaderSearch m_ControlSearch;
   std::size_t m_NextNode = 0;
   base::TimePoint m_StartedAt;
--- a/src/gateway/LeaderSearch.cpp
+++ b/src/gateway/LeaderSearch.cpp
@@ -33,7 +33,12 @@
   Next->fire();
 }
 
-void LeaderSearch::found(const std::string &Node) {
+void LeaderSearch::found(const std::string &Node, base::TimePoint Now) {
+  m_AnsweredAt = Now;
+  hear(Node);
+}
+
+void LeaderSearch::hear(const std::string &Node) {
   m_Leader = Node;
   m_Hint.clear();
   for (link::Waiter *Each : std::exchange(m_Waiting, {}))
--- a/src/gateway/LeaderSearch.h
+++ b/src/gateway/LeaderSearch.h
@@ -33,12 +33,16 @@
   void leave();
 
   /// \p Node has answered as the leader.
-  void found(const std::string &Node);
+  void found(const std::string &Node, base::TimePoint Now);
+  /// \p Node says that it leads now.
+  void hear(const std::string &Node);
   /// \p Node isn't the leader, or didn't answer.
   void lost(const std::string &Node);
   /// Some node believes that \p Node leads: the next one to be asked.
   void hint(const std::string &Node) { m_Hint = Node; }
 
+  /// When a leader answered last.
+  base::TimePoint answeredAt() const { return m_AnsweredAt; }
   /// Empty while unknown.
   const std::string &leader() const { return m_Leader; }
   const std::string &hinted() const { return m_Hint; }
@@ -47,6 +51,7 @@
   boost::asio::io_context &m_Io;
   std::string m_Leader;
   std::string m_Hint;
+  base::TimePoint m_AnsweredAt;
   bool m_Seeking = false;
   std::deque<link::Waiter *> m_Waiting;
 };
--- /dev/null
+++ b/src/history/EngineDesk.cpp
@@ -0,0 +1,77 @@
+#include "history/EngineDesk.h"
+
+#include <utility>
+
+namespace psp::history {
+
+void EngineDesk::offer(const Offer &Asked, base::TimePoint Now) {
+  const auto &Begin = Asked.m_Request.begin();
+  // Asked again: it has its place already.
+  const bool Placed = m_Placement.isPlaced(Begin.turn());
+  if (Placed) {
+    m_Answers.push_back(grant(Asked, Now));
+    return;
+  }
+  if (m_Admission.replace(Asked))
+    return;
+  switch (m_Admission.decide(Asked, load())) {
+  case turns::TurnAdmission::Decision::Begin:
+    m_Answers.push_back(grant(Asked, Now));
+    break;
+  case turns::TurnAdmission::Decision::Refuse:
+    m_Answers.push_back(refuse(Asked, m_Admission.retryAfter()));
+    break;
+  case turns::TurnAdmission::Decision::Wait:
+    break;
+  }
+}
+
+void EngineDesk::report(const messages::fleet::TurnReport &News,
+                        base::TimePoint Now) {
+  for (const std::string &Each : News.silent())
+    m_Placement.avoid(Each, Now);
+  m_Admission.observeGap(News.event_gap_us());
+  m_Placement.finish(News.turn(),
+                     {.m_Endpoint = News.endpoint(),
+                      .m_EventGapUs = News.event_gap_us(),
+                      .m_Failed = News.failed()},
+                     Now);
+}
+
+std::vector<PlaceAnswer> EngineDesk::takeReady(base::TimePoint Now) {
+  for (Offer &Each : m_Admission.takeReady(load()))
+    m_Answers.push_back(grant(std::move(Each), Now));
+  for (Offer &Each : m_Admission.takeOverdue(Now))
+    m_Answers.push_back(refuse(std::move(Each), base::Duration(0)));
+  return std::exchange(m_Answers, {});
+}
+
+turns::TurnAdmission::Load EngineDesk::load() const {
+  turns::TurnAdmission::Load Sum;
+  m_Endpoints.forEachUsable(m_Service, [&](const fleet::EndpointState &Each) {
+    Sum.m_Slots += Each.slots();
+    Sum.m_Running += m_Placement.runningOn(Each.id());
+  });
+  return Sum;
+}
+
+PlaceAnswer EngineDesk::grant(Offer Asked, base::TimePoint Now) {
+  PlaceAnswer Answer{.m_Offer = std::move(Asked), .m_Reply = {}};
+  const auto &Request = Answer.m_Offer.m_Request;
+  Answer.m_Reply.set_id(Request.id());
+  Answer.m_Reply.set_kind(messages::fleet::REPLY_OK);
+  Answer.m_Reply.set_endpoint(
+      m_Placement.place(Request.begin(), m_Endpoints, Now));
+  return Answer;
+}
+
+PlaceAnswer EngineDesk::refuse(Offer Asked, base::Duration RetryAfter) {
+  PlaceAnswer Answer{.m_Offer = std::move(Asked), .m_Reply = {}};
+  Answer.m_Reply.set_id(Answer.m_Offer.m_Request.id());
+  Answer.m_Reply.set_kind(messages::fleet::REPLY_BUSY);
+  Answer.m_Reply.set_wait_ms(
+      static_cast<std::uint32_t>(base::wholeMilliseconds(RetryAfter)));
+  return Answer;
+}
+
+} // namespace psp::history
--- a/src/history/HistoryDesk.cpp
+++ b/src/history/HistoryDesk.cpp
@@ -1,5 +1,6 @@
 #include "history/HistoryDesk.h"
 
+#include "base/Error.h"
 #include "messages/Parse.h"
 
 #include <utility>
@@ -29,11 +30,9 @@
 
 void HistoryDesk::apply(std::uint64_t Index, std::string_view Command,
                         std::uint64_t WallMs) {
-  auto Applied = messages::parseMessage<messages::fleet::HistoryCommand>(
+  const auto Applied = messages::parseMessage<messages::fleet::HistoryCommand>(
       Command, "history desk");
-  m_Ledger.apply(Applied, WallMs);
-  if (Applied.has_end())
-    learn(Applied.end());
+  m_Ledger.apply(Index, Applied, WallMs);
   const auto Found = m_Waiting.find(Index);
   if (Found == m_Waiting.end())
     return;
@@ -43,36 +42,51 @@
       Applied.has_begin() ? Applied.begin().turn() : Applied.end().turn();
   Reply Answer;
   // Another leader's command took the index of a proposal that was lost.
-  if (Turn != Asked.m_Turn)
+  if (Turn != Asked.m_Turn || Applied.has_begin() != Asked.m_Begins)
     Answer.set_kind(messages::fleet::REPLY_NOT_LEADER);
   else if (Applied.has_begin())
-    Answer = answerBegin(Applied.begin());
+    Answer = answerBegin(Applied.begin(), Asked);
   Answer.set_id(Asked.m_RequestId);
   m_Replies.push_back({.m_Node = Asked.m_Node, .m_Reply = std::move(Answer)});
 }
 
-Reply HistoryDesk::answerBegin(const messages::fleet::BeginTurn &Begin) {
+Reply HistoryDesk::answerBegin(const messages::fleet::BeginTurn &Begin,
+                               const Waiting &Asked) {
   Reply Answer;
   const BeginOutcome Outcome = m_Ledger.lastBegin();
   Answer.set_kind(kindOf(Outcome));
-  if (Outcome != BeginOutcome::Granted)
+  if (Outcome != BeginOutcome::Granted) {
+    auto &Unused = m_Unused.emplace_back();
+    Unused.set_turn(Asked.m_Turn);
+    Unused.set_service(Asked.m_Service);
     return Answer;
-  if (!Begin.previous().empty())
-    Answer.set_text(m_Ledger.chainText(Begin.organisation(), Begin.previous())
-                        .value_or(""));
-  Answer.set_endpoint(m_Placement.place(Begin, m_Endpoints, m_Now));
+  }
+  try {
+    if (!Begin.previous().empty())
+      Answer.set_text(
+          chainText(Begin.organisation(), Begin.previous()).value_or(""));
+  } catch (const base::UserError &Fault) {
+    // Another member has an undamaged copy.
+    m_Faults.emplace_back(Fault.what());
+    Answer.set_kind(messages::fleet::REPLY_NOT_LEADER);
+  }
+  Answer.set_endpoint(Asked.m_Endpoint);
   return Answer;
 }
 
-void HistoryDesk::learn(const messages::fleet::EndTurn &End) {
-  for (const std::string &Each : End.silent())
-    m_Placement.avoid(Each, m_Now);
-  m_Admission.observeGap(End.event_gap_us());
-  m_Placement.finish(End.turn(),
-                     {.m_Endpoint = End.endpoint(),
-                      .m_EventGapUs = End.event_gap_us(),
-                      .m_Failed = End.failed()},
-                     m_Now);
+std::optional<std::string>
+HistoryDesk::chainText(const std::string &Organisation,
+                       const std::string &Turn) const {
+  const auto Entries = m_Ledger.chain(Organisation, Turn);
+  if (!Entries)
+    return std::nullopt;
+  std::string Text;
+  for (const std::uint64_t Index : *Entries) {
+    const auto Kept = messages::parseMessage<messages::fleet::HistoryCommand>(
+        m_Entries.commandAt(Index), "history desk");
+    Text += Kept.has_adopt() ? Kept.adopt().text() : Kept.end().text();
+  }
+  return Text;
 }
 
 bool HistoryDesk::joins(const std::string &Node, const Request &Asked) {
@@ -89,11 +103,13 @@
 }
 
 void HistoryDesk::expect(std::uint64_t Index, const std::string &Node,
-                         const Request &Asked) {
+                         const Request &Asked, const std::string &Endpoint) {
   m_Waiting[Index] = {.m_Node = Node,
                       .m_RequestId = Asked.id(),
                       .m_Turn = Asked.has_begin() ? Asked.begin().turn()
                                                   : Asked.end().turn(),
+                      .m_Service = Asked.begin().service(),
+                      .m_Endpoint = Endpoint,
                       .m_Begins = Asked.has_begin()};
 }
 
@@ -108,19 +124,16 @@
   m_Waiting.clear();
 }
 
-turns::TurnAdmission::Load HistoryDesk::load(const std::string &Service) const {
-  turns::TurnAdmission::Load Sum;
-  m_Endpoints.forEachUsable(Service, [&](const fleet::EndpointState &Each) {
-    Sum.m_Slots += Each.slots();
-    Sum.m_Running += m_Placement.runningOn(Each.id());
-  });
-  for (const auto &[Index, Asked] : m_Waiting)
-    Sum.m_Running += Asked.m_Begins ? 1 : 0;
-  return Sum;
-}
-
 std::vector<AddressedReply> HistoryDesk::takeReplies() {
   return std::exchange(m_Replies, {});
 }
 
+std::vector<std::string> HistoryDesk::takeFaults() {
+  return std::exchange(m_Faults, {});
+}
+
+std::vector<messages::fleet::TurnReport> HistoryDesk::takeUnused() {
+  return std::exchange(m_Unused, {});
+}
+
 } // namespace psp::history
--- a/src/history/HistoryDesk.h
+++ b/src/history/HistoryDesk.h
@@ -1,18 +1,15 @@
 /// \file
-/// Answers entry instances at the leader of the history group: which turns may
-/// run, on which engine, and which are recorded.
+/// The state of one history group and the requests that wait for it.
 
 #ifndef PSP_HISTORY_HISTORYDESK_H
 #define PSP_HISTORY_HISTORYDESK_H
 
 #include "consensus/StateMachine.h"
-#include "fleet/EndpointDirectory.h"
-#include "turns/EnginePlacement.h"
-#include "turns/TurnAdmission.h"
 #include "turns/TurnLedger.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,19 +21,30 @@
   messages::fleet::Reply m_Reply;
 };
 
+/// Reads commands back that the ledger refers to.
+class EntrySource {
+public:
+  virtual ~EntrySource() = default;
+
+  /// Throws UserError(Internal) when the entry is damaged on this disk.
+  virtual std::string commandAt(std::uint64_t Index) const = 0;
+};
+
 /// Wraps the ledger of turns: each command that is applied answers the request
-/// that proposed it. Decides without I/O.
+/// that proposed it. Decides without I/O, but for texts that it reads back.
 class HistoryDesk : public consensus::StateMachine {
 public:
-  explicit HistoryDesk(turns::TurnAdmissionOptions Admission)
-      : m_Admission(Admission) {}
-
   using Request = messages::fleet::Request;
   using Reply = messages::fleet::Reply;
 
+  explicit HistoryDesk(const EntrySource &Entries) : m_Entries(Entries) {}
+
   void apply(std::uint64_t Index, std::string_view Command,
              std::uint64_t WallMs) override;
   std::string snapshot() const override { return m_Ledger.snapshot(); }
+  std::optional<std::uint64_t> oldestEntry() const override {
+    return m_Ledger.oldestEntry();
+  }
   void restore(std::string_view Snapshot) override {
     m_Ledger.restore(Snapshot);
   }
@@ -47,41 +55,43 @@
   /// Commands that wait for their commit.
   std::size_t waiting() const { return m_Waiting.size(); }
 
-  /// \p Asked was proposed at \p Index.
+  /// \p Asked was proposed at \p Index, a begin with a place on \p Endpoint.
   void expect(std::uint64_t Index, const std::string &Node,
-              const Request &Asked);
+              const Request &Asked, const std::string &Endpoint = {});
   /// This node doesn't lead any more: those who wait ask the next leader.
   void failAll(const std::string &Leader);
   std::vector<AddressedReply> takeReplies();
+  /// Turns that had a place and didn't begin.
+  std::vector<messages::fleet::TurnReport> takeUnused();
 
-  /// The time that decisions on engines use.
-  void setTime(base::TimePoint Now) { m_Now = Now; }
-  void expire() { m_Placement.expire(m_Now); }
+  /// Faults of this disk that were met since the last call.
+  std::vector<std::string> takeFaults();
 
-  turns::TurnLedger &ledger() { return m_Ledger; }
-  fleet::EndpointDirectory &endpoints() { return m_Endpoints; }
-  turns::TurnAdmission &admission() { return m_Admission; }
-  /// Turns of \p Service that run or are about to begin, and its slots.
-  turns::TurnAdmission::Load load(const std::string &Service) const;
+  /// The text of \p Turn and all turns before it; nothing if there is no such
+  /// turn here.
+  std::optional<std::string> chainText(const std::string &Organisation,
+                                       const std::string &Turn) const;
+  const turns::TurnLedger &ledger() const { return m_Ledger; }
 
 private:
   struct Waiting {
     std::string m_Node;
     std::uint64_t m_RequestId = 0;
     std::string m_Turn;
+    std::string m_Service;
+    std::string m_Endpoint;
     bool m_Begins = false;
   };
 
-  Reply answerBegin(const messages::fleet::BeginTurn &Begin);
-  void learn(const messages::fleet::EndTurn &End);
+  Reply answerBegin(const messages::fleet::BeginTurn &Begin,
+                    const Waiting &Asked);
 
+  const EntrySource &m_Entries;
   turns::TurnLedger m_Ledger;
-  turns::EnginePlacement m_Placement;
-  turns::TurnAdmission m_Admission;
-  fleet::EndpointDirectory m_Endpoints;
   std::map<std::uint64_t, Waiting> m_Waiting; ///< By index.
   std::vector<AddressedReply> m_Replies;
-  base::TimePoint m_Now;
+  std::vector<messages::fleet::TurnReport> m_Unused;
+  std::vector<std::string> m_Faults;
 };
 
 } // namespace psp::history
--- /dev/null
+++ b/src/history/PlaceRequests.h
@@ -0,0 +1,71 @@
+/// \file
+/// The turns of this node's groups that wait for a place on an engine.
+
+#ifndef PSP_HISTORY_PLACEREQUESTS_H
+#define PSP_HISTORY_PLACEREQUESTS_H
+
+#include "base/Time.h"
+#include "generated/fleet.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace psp::history {
+
+struct PlaceRequestsOptions {
+  /// A request without an answer is sent again after this long: several round
+  /// trips between data centres.
+  base::Duration m_ResendInterval = base::milliseconds(60);
+  /// After this long without an answer nobody grants places, and the turn
+  /// begins without one or its asker comes again: longer than an offer waits
+  /// at the one who grants them, and below the patience of entry instances.
+  base::Duration m_Limit = base::milliseconds(225);
+};
+
+/// Load pattern: the one who grants places is lost while turns go on coming.
+/// Askers repeat themselves meanwhile, and none may get two places.
+class PlaceRequests {
+public:
+  using Request = messages::fleet::Request;
+
+  struct Pending {
+    std::string m_Node; ///< Who asked for the turn.
+    Request m_Request;  ///< The begin.
+    bool m_NewProgram = false;
+    base::TimePoint m_ArrivedAt;
+    base::TimePoint m_SentAt;
+  };
+
+  explicit PlaceRequests(PlaceRequestsOptions Options = {})
+      : m_Options(Options) {}
+
+  /// Whether the same turn waits already; its answer then goes to \p Asked.
+  bool join(const std::string &Node, const Request &Asked);
+  /// The identifier of the request for a place.
+  std::uint64_t add(Pending Asked);
+  /// Null if nothing waits under \p Id.
+  const Pending *find(std::uint64_t Id) const;
+  std::optional<Pending> take(std::uint64_t Id);
+  /// Requests to be sent again now.
+  std::vector<std::uint64_t> takeUnanswered(base::TimePoint Now);
+  /// Requests that nobody has answered in time.
+  std::vector<Pending> takeOverdue(base::TimePoint Now);
+  /// All of one group, which this node doesn't lead any more.
+  std::vector<Pending> takeGroup(std::uint32_t Group);
+  std::size_t size() const { return m_Rows.size(); }
+
+private:
+  template <typename Condition> std::vector<Pending> takeIf(Condition Matches);
+
+  PlaceRequestsOptions m_Options;
+  std::uint64_t m_LastId = 0;
+  std::map<std::uint64_t, Pending> m_Rows;
+  std::map<std::string, std::uint64_t> m_ByTurn;
+};
+
+} // namespace psp::history
+
+#endif
--- /dev/null
+++ b/src/history/RoomWatch.h
@@ -0,0 +1,56 @@
+/// \file
+/// Whether a history node has room for more programs.
+
+#ifndef PSP_HISTORY_ROOMWATCH_H
+#define PSP_HISTORY_ROOMWATCH_H
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+namespace psp::history {
+
+/// In bytes; a limit of zero is none.
+struct RoomLimits {
+  std::uint64_t m_MemoryBytes = 0; ///< At which the process is killed.
+  std::uint64_t m_DiskBytes = 0;   ///< Length of the data disk.
+};
+
+struct RoomUsage {
+  std::uint64_t m_MemoryBytes = 0;
+  std::uint64_t m_DiskBytes = 0;
+};
+
+/// Load pattern: more comes in than retention lets go. New programs are refused
+/// before the machine is full, and those that have begun go on.
+class RoomWatch {
+public:
+  explicit RoomWatch(RoomLimits Limits) : m_Limits(Limits) {}
+
+  /// True if isFull() has changed.
+  bool update(const RoomUsage &Now) {
+    const double Used =
+        std::max(share(Now.m_MemoryBytes, m_Limits.m_MemoryBytes),
+                 share(Now.m_DiskBytes, m_Limits.m_DiskBytes));
+    const bool Full = Used > (m_Full ? OpenShare : FullShare);
+    return std::exchange(m_Full, Full) != Full;
+  }
+  bool isFull() const { return m_Full; }
+
+private:
+  /// Programs that run already need the rest until they end.
+  static constexpr double FullShare = 0.7;
+  static constexpr double OpenShare = 0.6;
+
+  static double share(std::uint64_t Used, std::uint64_t Limit) {
+    return Limit == 0 ? 0
+                      : static_cast<double>(Used) / static_cast<double>(Limit);
+  }
+
+  RoomLimits m_Limits;
+  bool m_Full = false;
+};
+
+} // namespace psp::history
+
+#endif
--- a/src/node/NodeRuntime.h
+++ b/src/node/NodeRuntime.h
@@ -65,7 +65,9 @@
   const NodeSettings &settings() const { return m_Settings; }
   boost::asio::io_context &io() { return m_Io; }
   link::Hub &hub() { return m_Hub; }
+  const link::Hub &hub() const { return m_Hub; }
   fleet::NodeDirectory &nodes() { return m_Nodes; }
+  const fleet::NodeDirectory &nodes() const { return m_Nodes; }
   logging::EventLog &log() { return m_Log; }
   metrics::Registry &metrics() { return m_Metrics; }
   /// Nodes of \p Kind with an open connection.
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -26,6 +26,10 @@
   std::optional<link::PeerAddress> m_ReadyAddress;
   std::optional<link::PeerAddress> m_ControlAddress;
   std::string m_DataFolder; ///< Empty on nodes without a disk.
+  /// A process that uses more is killed; zero: unknown.
+  std::uint64_t m_MemoryBytes = 0;
+  /// Length of the data disk; zero: unknown.
+  std::uint64_t m_DiskBytes = 0;
   /// The whole deployment starts for the first time.
   bool m_Founding = false;
   /// Nodes with a disk that may be lost at once.
--- a/src/programs/ledger/LedgerProcess.cpp
+++ b/src/programs/ledger/LedgerProcess.cpp
@@ -116,12 +116,12 @@
   // journals that the reading opens.
   m_ControlJournal = std::make_unique<storage::FileJournal>(
       storage::FileJournalOptions{.m_Folder = m_Folder / "control"},
-      [this](std::string_view Record) {
+      [this](std::uint64_t, std::string_view Record) {
         m_ControlRecords.emplace_back(Record);
       });
   m_ProgramJournal = std::make_unique<storage::FileJournal>(
       storage::FileJournalOptions{.m_Folder = m_Folder / "programs"},
-      [this](std::string_view Record) {
+      [this](std::uint64_t, std::string_view Record) {
         m_ProgramRecords.emplace_back(Record);
       });
   const Now Start = readClocks();
--- a/src/records/VerifyFolder.cpp
+++ b/src/records/VerifyFolder.cpp
@@ -103,14 +103,16 @@
 std::optional<std::string> readJournal(const fs::path &Folder,
                                        const std::vector<SegmentFile> &Segments,
                                        JournalRecords &Records) {
-  const auto Handle = [&](std::string_view Record) { Records.take(Record); };
+  const auto Handle = [&](const storage::SegmentRecord &Record) {
+    Records.take(Record.m_Bytes);
+  };
   std::uint64_t Covered = 0;
   const fs::path Snapshot = Folder / storage::SnapshotFileName;
   if (fs::exists(Snapshot)) {
     const auto Content =
         storage::decodeSnapshot(Snapshot.string(), storage::readFile(Snapshot));
     Covered = Content.m_Covered;
-    Handle(Content.m_Data);
+    Records.take(Content.m_Data);
   }
   std::optional<std::uint64_t> Next;
   for (const SegmentFile &Each : Segments) {
--- a/src/storage/File.cpp
+++ b/src/storage/File.cpp
@@ -93,6 +93,24 @@
   return static_cast<std::uint64_t>(Status.st_size);
 }
 
+std::string File::readAt(std::uint64_t Offset, std::size_t Length) const {
+  std::string Content(Length, '\0');
+  std::size_t Done = 0;
+  while (Done < Length) {
+    const ssize_t Count =
+        ::pread(m_Descriptor, Content.data() + Done, Length - Done,
+                static_cast<off_t>(Offset + Done));
+    if (Count < 0 && errno == EINTR)
+      continue;
+    if (Count < 0)
+      fail("read from it");
+    if (Count == 0)
+      failOn(m_Path, "read from it", ENODATA);
+    Done += static_cast<std::size_t>(Count);
+  }
+  return Content;
+}
+
 bool File::tryLock() {
   if (::flock(m_Descriptor, LOCK_EX | LOCK_NB) == 0)
     return true;
--- a/src/storage/File.h
+++ b/src/storage/File.h
@@ -28,6 +28,9 @@
   void sync();
   void truncate(std::uint64_t Length);
   std::uint64_t size() const;
+  /// Exactly \p Length bytes from \p Offset on.
+  std::string readAt(std::uint64_t Offset, std::size_t Length) const;
+  bool isOpen() const { return m_Descriptor >= 0; }
 
   /// Locks the file for this process; false when another one holds it.
   bool tryLock();
--- a/src/storage/FileJournal.cpp
+++ b/src/storage/FileJournal.cpp
@@ -40,7 +40,7 @@
   if (!std::filesystem::exists(Path))
     return 0;
   SnapshotContent Content = decodeSnapshot(Path.string(), readFile(Path));
-  Restore(Content.m_Data);
+  Restore(Content.m_Covered, Content.m_Data);
   return Content.m_Covered;
 }
 
@@ -48,6 +48,9 @@
                                   const RecordHandler &Restore) {
   std::vector<std::uint64_t> Starts = segmentStarts();
   std::uint64_t Next = Covered + 1;
+  // What was released is gone for good.
+  if (m_Options.m_ReadsBack && !Starts.empty() && Covered == 0)
+    Next = Starts.front();
   if (!Starts.empty() && Starts.front() > Next)
     refuse(segmentPath(Starts.front()),
            "expected sequence " + std::to_string(Next) +
@@ -58,8 +61,16 @@
       refuse(Path, "expected to begin with sequence " + std::to_string(Next) +
                        ", found a missing or short segment before it");
     std::string Content = readFile(Path);
+    if (m_Options.m_ReadsBack)
+      m_Index[Starts[I]];
     SegmentContent Read =
-        readSegment(Path.string(), Content, Starts[I], Covered, Restore);
+        readSegment(Path.string(), Content, Starts[I], Covered,
+                    [&](const SegmentRecord &Record) {
+                      notePlace(Record.m_Offset, Record.m_Bytes);
+                      Restore(Record.m_Sequence, Record.m_Bytes);
+                    });
+    if (m_Options.m_ReadsBack)
+      m_Index[Starts[I]].m_Bytes = Read.m_ValidBytes;
     Next = Read.m_NextSequence;
     if (Read.m_ValidBytes == Content.size())
       continue;
@@ -125,7 +136,9 @@
   std::vector<std::string> Batch;
   std::size_t Bytes = 0;
   auto Flush = [&] {
-    m_Segment.write(encodeBatch(First, Batch));
+    const std::string Encoded = encodeBatch(First, Batch);
+    m_Segment.write(Encoded);
+    noteBatch(Encoded.size(), Batch);
     m_Segment.sync();
     First += Batch.size();
     Batch.clear();
@@ -145,6 +158,75 @@
   m_Segment = File(segmentPath(First), File::Mode::CreateNew);
   m_SegmentFirst = First;
   syncFolder(m_Options.m_Folder);
+  if (m_Options.m_ReadsBack)
+    m_Index[First];
+}
+
+void FileJournal::notePlace(std::uint64_t Offset, std::string_view Record) {
+  if (m_Options.m_ReadsBack)
+    m_Index.rbegin()->second.m_Places.push_back(
+        {.m_Offset = static_cast<std::uint32_t>(Offset),
+         .m_Length = static_cast<std::uint32_t>(Record.size()),
+         .m_Checksum = checksum(Record)});
+}
+
+void FileJournal::noteBatch(std::uint64_t Bytes,
+                            const std::vector<std::string> &Records) {
+  if (!m_Options.m_ReadsBack)
+    return;
+  SegmentIndex &Last = m_Index.rbegin()->second;
+  std::uint64_t Offset = Last.m_Bytes + FirstRecordOffset;
+  for (const std::string &Record : Records) {
+    notePlace(Offset, Record);
+    Offset += Record.size() + RecordHeadBytes;
+  }
+  Last.m_Bytes += Bytes;
+}
+
+std::string FileJournal::read(std::uint64_t Sequence) const {
+  std::lock_guard Guard(m_Mutex);
+  if (Sequence > m_Synced) {
+    base::checkInvariant(Sequence <= m_Appended,
+                         "journal: read behind the last record");
+    return m_Pending[Sequence - m_Synced - 1];
+  }
+  auto Found = m_Index.upper_bound(Sequence);
+  base::checkInvariant(Found != m_Index.begin(),
+                       "journal: read of a released record");
+  --Found;
+  const SegmentIndex &Segment = Found->second;
+  const RecordPlace &Place = Segment.m_Places.at(Sequence - Found->first);
+  if (!Segment.m_Reader.isOpen())
+    Segment.m_Reader = File(segmentPath(Found->first), File::Mode::Read);
+  std::string Record = Segment.m_Reader.readAt(Place.m_Offset, Place.m_Length);
+  if (checksum(Record) != Place.m_Checksum)
+    refuse(segmentPath(Found->first),
+           "expected a record as it was written at offset " +
+               std::to_string(Place.m_Offset) + ", found a bad checksum");
+  return Record;
+}
+
+void FileJournal::release(std::uint64_t Sequence) {
+  const auto Second = secondSegment();
+  if (!Second || *Second > Sequence)
+    return;
+  dropCoveredSegments(Sequence - 1);
+  std::lock_guard Guard(m_Mutex);
+  while (m_Index.size() > 1 && std::next(m_Index.begin())->first <= Sequence)
+    m_Index.erase(m_Index.begin());
+}
+
+std::optional<std::uint64_t> FileJournal::secondSegment() const {
+  if (m_Index.size() < 2)
+    return std::nullopt;
+  return std::next(m_Index.begin())->first;
+}
+
+std::uint64_t FileJournal::diskBytes() const {
+  std::uint64_t Sum = 0;
+  for (const auto &[First, Segment] : m_Index)
+    Sum += Segment.m_Bytes;
+  return Sum;
 }
 
 void FileJournal::writeSnapshot(std::string_view Snapshot,
--- a/src/storage/FileJournal.h
+++ b/src/storage/FileJournal.h
@@ -9,7 +9,9 @@
 #include "storage/Journal.h"
 
 #include <filesystem>
+#include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,11 +21,13 @@
   std::filesystem::path m_Folder;
   /// A segment of at least this length is followed by a new one, in bytes.
   std::uint64_t m_SegmentBytes = 64U << 20U;
+  /// Keeps the place of each record in memory, for read() and release().
+  bool m_ReadsBack = false;
 };
 
 /// Example:
 /// \code
-///   FileJournal Disk({.m_Folder = Data / "control"}, [&](auto Record) {
+///   FileJournal Disk({.m_Folder = Data / "control"}, [&](auto, auto Record) {
 ///     Voter.restoreRecord(Record);
 ///   });
 /// \endcode
@@ -39,6 +43,19 @@
   void writeSnapshot(std::string_view Snapshot, std::uint64_t Covered) override;
   std::uint64_t syncedSequence() const override;
 
+  /// The record with \p Sequence, synced or not. Only with m_ReadsBack. Throws
+  /// UserError(Internal) that names file and offset when it is damaged.
+  std::string read(std::uint64_t Sequence) const;
+  /// Records before \p Sequence aren't needed any more: segments that hold
+  /// only such records are removed. Only with m_ReadsBack.
+  void release(std::uint64_t Sequence);
+  /// Sequence of the first record behind the oldest segment; nothing while
+  /// there is only one.
+  std::optional<std::uint64_t> secondSegment() const;
+  std::size_t segmentCount() const { return m_Index.size(); }
+  /// Bytes of all segments.
+  std::uint64_t diskBytes() const;
+
   /// Bytes of a torn tail that opening has cut.
   std::uint64_t cutBytes() const { return m_CutBytes; }
 
@@ -53,7 +70,23 @@
   std::filesystem::path segmentPath(std::uint64_t First) const;
   void requireIntact() const;
 
+  /// Where a record lies in its segment.
+  struct RecordPlace {
+    std::uint32_t m_Offset = 0;
+    std::uint32_t m_Length = 0;
+    std::uint32_t m_Checksum = 0;
+  };
+  struct SegmentIndex {
+    std::vector<RecordPlace> m_Places; ///< From the segment's first sequence.
+    std::uint64_t m_Bytes = 0;
+    mutable File m_Reader; ///< Opened with the first read.
+  };
+  void notePlace(std::uint64_t Offset, std::string_view Record);
+  void noteBatch(std::uint64_t Bytes, const std::vector<std::string> &Records);
+
   FileJournalOptions m_Options;
+  /// By first sequence; empty without m_ReadsBack.
+  std::map<std::uint64_t, SegmentIndex> m_Index;
   File m_Lock;
   File m_Segment; ///< The last one, open for appending.
   std::uint64_t m_SegmentFirst = 1;
--- a/src/storage/Journal.h
+++ b/src/storage/Journal.h
@@ -14,8 +14,9 @@
 namespace psp::storage {
 
 /// Receives the records of an opened journal, oldest first. The snapshot, if
-/// there is one, comes first of all.
-using RecordHandler = std::function<void(std::string_view Record)>;
+/// there is one, comes first of all, with the sequence up to which it covers.
+using RecordHandler =
+    std::function<void(std::uint64_t Sequence, std::string_view Record)>;
 
 /// Appended records count only once sync() has returned their sequence.
 ///
--- a/src/storage/Segment.cpp
+++ b/src/storage/Segment.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t FirstOffset = 8;
 constexpr std::size_t CountOffset = 16;
 constexpr std::size_t HeadBytes = 20;
+static_assert(FirstRecordOffset == HeadBytes + RecordHeadBytes);
 
 struct Batch {
   std::uint64_t m_First = 0;
@@ -62,7 +63,7 @@
 }
 
 void handOn(const Batch &Whole, std::uint64_t Covered, const std::string &Name,
-            std::size_t Offset, const RecordHandler &Handle) {
+            std::size_t Offset, const SegmentHandler &Handle) {
   std::string_view Rest = Whole.m_Body;
   for (std::uint32_t I = 0; I < Whole.m_Count; ++I) {
     if (Rest.size() < RecordHeadBytes ||
@@ -70,7 +71,10 @@
       refuse(Name, Offset, "a record longer than its batch");
     std::size_t Length = getInteger<std::uint32_t>(Rest);
     if (Whole.m_First + I > Covered)
-      Handle(Rest.substr(RecordHeadBytes, Length));
+      Handle({.m_Sequence = Whole.m_First + I,
+              .m_Offset = Offset + HeadBytes + Whole.m_Body.size() -
+                          Rest.size() + RecordHeadBytes,
+              .m_Bytes = Rest.substr(RecordHeadBytes, Length)});
     Rest.remove_prefix(RecordHeadBytes + Length);
   }
   if (!Rest.empty())
@@ -99,7 +103,7 @@
 
 SegmentContent readSegment(const std::string &Name, std::string_view Content,
                            std::uint64_t First, std::uint64_t Covered,
-                           const RecordHandler &Handle) {
+                           const SegmentHandler &Handle) {
   SegmentContent Result{.m_NextSequence = First, .m_ValidBytes = 0};
   while (Result.m_ValidBytes < Content.size()) {
     std::size_t Offset = Result.m_ValidBytes;
--- a/src/storage/Segment.h
+++ b/src/storage/Segment.h
@@ -12,6 +12,7 @@
 #include "storage/Journal.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,12 +35,23 @@
   std::uint64_t m_ValidBytes = 0; ///< What follows is a torn tail.
 };
 
+/// One record of a segment.
+struct SegmentRecord {
+  std::uint64_t m_Sequence = 0;
+  std::uint64_t m_Offset = 0; ///< Of the record's first byte in the file.
+  std::string_view m_Bytes;
+};
+using SegmentHandler = std::function<void(const SegmentRecord &)>;
+
+/// Offset of the first record's bytes in an encoded batch.
+inline constexpr std::size_t FirstRecordOffset = 20 + RecordHeadBytes;
+
 /// Reads a segment that starts at sequence \p First and hands on each record
 /// with a sequence above \p Covered. Throws UserError(Internal) that names
 /// \p Name and the offset when synced records are damaged.
 SegmentContent readSegment(const std::string &Name, std::string_view Content,
                            std::uint64_t First, std::uint64_t Covered,
-                           const RecordHandler &Handle);
+                           const SegmentHandler &Handle);
 
 } // namespace psp::storage
 
--- a/src/turns/EnginePlacement.h
+++ b/src/turns/EnginePlacement.h
@@ -71,6 +71,9 @@
   /// Drops turns without news.
   void expire(base::TimePoint Now);
 
+  bool isPlaced(const std::string &Turn) const {
+    return m_Running.contains(Turn);
+  }
   std::uint32_t runningOn(const std::string &Endpoint) const;
   std::size_t running() const { return m_Running.size(); }
 
--- a/src/turns/TurnAdmission.cpp
+++ b/src/turns/TurnAdmission.cpp
@@ -45,6 +45,17 @@
   return Decision::Wait;
 }
 
+bool TurnAdmission::replace(const Offer &Again) {
+  for (Offer &Each : m_Waiting) {
+    if (Each.m_Request.begin().turn() != Again.m_Request.begin().turn())
+      continue;
+    Each.m_Node = Again.m_Node;
+    Each.m_Request.set_id(Again.m_Request.id());
+    return true;
+  }
+  return false;
+}
+
 bool TurnAdmission::hasSpentItsTime(const Offer &Asked) const {
   const auto &Begin = Asked.m_Request.begin();
   const auto Found = m_TurnedAway.find(Begin.program());
--- a/src/turns/TurnAdmission.h
+++ b/src/turns/TurnAdmission.h
@@ -73,6 +73,9 @@
       : m_Options(Options), m_Random(Options.m_Seed),
         m_NewShare(Options.m_MostNewShare) {}
 
+  /// Whether \p Again is of a turn that waits already; its answer then goes to
+  /// whoever asked last.
+  bool replace(const Offer &Again);
   /// An offer that waits comes back from takeReady() or takeOverdue().
   Decision decide(const Offer &Asked, const Load &Now);
   /// Those of the service that \p Now is of that may begin now, the most
--- a/src/turns/TurnLedger.cpp
+++ b/src/turns/TurnLedger.cpp
@@ -19,28 +19,35 @@
   return Key;
 }
 
-template <typename Rows>
-void expireRows(Rows &All, ExpiryQueue &Expiry, std::uint64_t WallMs) {
+/// Calls \p Drop with each row that is removed.
+template <typename Rows, typename Function>
+void expireRows(Rows &All, ExpiryQueue &Expiry, std::uint64_t WallMs,
+                Function Drop) {
   for (const std::string &Key : Expiry.takeDue(WallMs)) {
     const auto Found = All.find(Key);
     if (Found == All.end())
       continue;
-    if (Found->second.m_ExpiresMs < WallMs)
+    if (Found->second.m_ExpiresMs < WallMs) {
+      Drop(Found->second);
       All.erase(Found);
-    else
+    } else {
       Expiry.add(Key, Found->second.m_ExpiresMs);
+    }
   }
 }
 
 } // namespace
 
-void TurnLedger::apply(messages::fleet::HistoryCommand &Command,
+void TurnLedger::apply(std::uint64_t Index,
+                       const messages::fleet::HistoryCommand &Command,
                        std::uint64_t WallMs) {
   expire(WallMs);
   if (Command.has_begin())
     begin(Command.begin(), WallMs);
   else if (Command.has_end())
-    end(*Command.mutable_end(), WallMs);
+    end(Index, Command.end(), WallMs);
+  else if (Command.has_adopt())
+    adopt(Index, Command.adopt(), WallMs);
 }
 
 void TurnLedger::begin(const BeginTurn &Command, std::uint64_t WallMs) {
@@ -82,7 +89,8 @@
   return BeginOutcome::Granted;
 }
 
-void TurnLedger::end(EndTurn &Command, std::uint64_t WallMs) {
+void TurnLedger::end(std::uint64_t Index, const EndTurn &Command,
+                     std::uint64_t WallMs) {
   ProgramState &Owner =
       programOf(Command.organisation(), Command.program(),
                 WallMs + Command.retention_ms() + m_Options.m_ProgramGraceMs);
@@ -91,22 +99,21 @@
   Owner.m_Reserved.erase(Command.turn());
   Owner.m_Spent += Command.tokens();
   if (Command.keep())
-    keep(Command, WallMs);
+    keep(Index, Command, WallMs);
 }
 
-void TurnLedger::keep(EndTurn &Command, std::uint64_t WallMs) {
+void TurnLedger::keep(std::uint64_t Index, const EndTurn &Command,
+                      std::uint64_t WallMs) {
   const std::uint64_t Expires = WallMs + Command.retention_ms();
-  Key Previous = Command.previous().empty()
-                     ? Key()
-                     : keyOf(Command.organisation(), Command.previous());
   const Key Name = keyOf(Command.organisation(), Command.turn());
-  m_TurnExpiry.add(Name, Expires);
-  KeptTurn &Kept = m_Turns[Name];
-  Kept = {.m_Previous = std::move(Previous),
-          .m_Text = std::move(*Command.mutable_text()),
-          .m_ExpiresMs = Expires};
+  put(Name,
+      {.m_Previous = Command.previous().empty()
+                         ? Key()
+                         : keyOf(Command.organisation(), Command.previous()),
+       .m_Entry = Index,
+       .m_ExpiresMs = Expires});
   // A turn is kept together with its chain.
-  const KeptTurn *Last = &Kept;
+  const KeptTurn *Last = &m_Turns.at(Name);
   while (!Last->m_Previous.empty()) {
     const auto Found = m_Turns.find(Last->m_Previous);
     if (Found == m_Turns.end() || Found->second.m_ExpiresMs >= Expires)
@@ -116,9 +123,31 @@
   }
 }
 
+void TurnLedger::adopt(std::uint64_t Index,
+                       const messages::fleet::AdoptTurn &Command,
+                       std::uint64_t WallMs) {
+  const Key Name = keyOf(Command.organisation(), Command.turn());
+  if (!m_Turns.contains(Name))
+    put(Name, {.m_Previous = {},
+               .m_Entry = Index,
+               .m_ExpiresMs = WallMs + Command.retention_ms()});
+}
+
+void TurnLedger::put(const Key &Name, KeptTurn Row) {
+  m_TurnExpiry.add(Name, Row.m_ExpiresMs);
+  m_Entries.insert(Row.m_Entry);
+  m_Turns[Name] = std::move(Row);
+}
+
 void TurnLedger::expire(std::uint64_t WallMs) {
-  expireRows(m_Turns, m_TurnExpiry, WallMs);
-  expireRows(m_Programs, m_ProgramExpiry, WallMs);
+  expireRows(m_Turns, m_TurnExpiry, WallMs, [this](const KeptTurn &Dropped) {
+    m_Entries.erase(Dropped.m_Entry);
+  });
+  expireRows(m_Programs, m_ProgramExpiry, WallMs, [](const ProgramState &) {});
+}
+
+std::optional<std::uint64_t> TurnLedger::oldestEntry() const {
+  return m_Entries.empty() ? std::nullopt : std::optional(*m_Entries.begin());
 }
 
 bool TurnLedger::hasTurn(const std::string &Organisation,
@@ -131,22 +160,20 @@
   return m_Programs.contains(keyOf(Organisation, Program));
 }
 
-std::optional<std::string>
-TurnLedger::chainText(const std::string &Organisation,
-                      const std::string &Turn) const {
-  std::vector<const std::string *> Texts;
+std::optional<std::vector<std::uint64_t>>
+TurnLedger::chain(const std::string &Organisation,
+                  const std::string &Turn) const {
+  std::vector<std::uint64_t> Entries;
   Key Next = keyOf(Organisation, Turn);
   while (!Next.empty()) {
     const auto Found = m_Turns.find(Next);
     if (Found == m_Turns.end())
       return std::nullopt;
-    Texts.push_back(&Found->second.m_Text);
+    Entries.push_back(Found->second.m_Entry);
     Next = Found->second.m_Previous;
   }
-  std::string Chain;
-  for (auto Each = Texts.rbegin(); Each != Texts.rend(); ++Each)
-    Chain += **Each;
-  return Chain;
+  std::ranges::reverse(Entries);
+  return Entries;
 }
 
 std::uint64_t TurnLedger::committedTokens(const std::string &Organisation,
@@ -169,7 +196,7 @@
     Row.set_organisation(Name.substr(0, Split));
     if (!Value.m_Previous.empty())
       Row.set_previous(Value.m_Previous.substr(Split + 1));
-    Row.set_text(Value.m_Text);
+    Row.set_entry(Value.m_Entry);
     Row.set_expires_ms(Value.m_ExpiresMs);
   }
   for (const auto &[Name, Value] : m_Programs) {
@@ -189,21 +216,20 @@
 }
 
 void TurnLedger::restore(std::string_view Snapshot) {
-  auto All = messages::parseMessage<messages::fleet::TurnLedgerSnapshot>(
+  const auto All = messages::parseMessage<messages::fleet::TurnLedgerSnapshot>(
       Snapshot, "turn ledger");
   m_Turns.clear();
+  m_Entries.clear();
   m_Programs.clear();
   m_TurnExpiry.clear();
   m_ProgramExpiry.clear();
-  for (auto &Row : *All.mutable_turns()) {
-    m_TurnExpiry.add(Row.key(), Row.expires_ms());
-    m_Turns[Row.key()] = {.m_Previous =
-                              Row.previous().empty()
-                                  ? Key()
-                                  : keyOf(Row.organisation(), Row.previous()),
-                          .m_Text = std::move(*Row.mutable_text()),
-                          .m_ExpiresMs = Row.expires_ms()};
-  }
+  for (const auto &Row : All.turns())
+    put(Row.key(),
+        {.m_Previous = Row.previous().empty()
+                           ? Key()
+                           : keyOf(Row.organisation(), Row.previous()),
+         .m_Entry = Row.entry(),
+         .m_ExpiresMs = Row.expires_ms()});
   for (const auto &Row : All.programs()) {
     m_ProgramExpiry.add(Row.key(), Row.expires_ms());
     ProgramState &Value = m_Programs[Row.key()];
--- a/src/turns/TurnLedger.h
+++ b/src/turns/TurnLedger.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace psp::turns {
 
@@ -36,6 +37,8 @@
 /// charged for what its caller received when it ends, so the sum over all
 /// parallel turns stays inside the budget whatever fails between. A turn whose
 /// entry instance died keeps its reservation.
+///
+/// The texts of turns stay in the log; the ledger knows which entries they are.
 class TurnLedger {
 public:
   using BeginTurn = messages::fleet::BeginTurn;
@@ -43,18 +46,22 @@
 
   explicit TurnLedger(TurnLedgerOptions Options = {}) : m_Options(Options) {}
 
-  /// Takes the text of a kept turn out of \p Command. \p WallMs: of the log.
-  void apply(messages::fleet::HistoryCommand &Command, std::uint64_t WallMs);
+  /// \p Index and \p WallMs: of the command's entry in the log.
+  void apply(std::uint64_t Index,
+             const messages::fleet::HistoryCommand &Command,
+             std::uint64_t WallMs);
   std::string snapshot() const;
   void restore(std::string_view Snapshot);
 
   /// The outcome of the begin that was applied last.
   BeginOutcome lastBegin() const { return m_LastBegin; }
 
-  /// The inputs and outputs of \p Turn and all turns before it, oldest first;
-  /// nothing if \p Organisation has no such turn.
-  std::optional<std::string> chainText(const std::string &Organisation,
-                                       const std::string &Turn) const;
+  /// The entries that hold the texts of \p Turn and all turns before it, oldest
+  /// first; nothing if \p Organisation has no such turn.
+  std::optional<std::vector<std::uint64_t>>
+  chain(const std::string &Organisation, const std::string &Turn) const;
+  /// The oldest entry whose text is needed, if any.
+  std::optional<std::uint64_t> oldestEntry() const;
   bool hasTurn(const std::string &Organisation, const std::string &Turn) const;
   /// Whether a turn of \p Program has begun.
   bool hasProgram(const std::string &Organisation,
@@ -70,8 +77,8 @@
   using Key = std::string; ///< Organisation, a zero byte, and a name.
 
   struct KeptTurn {
-    Key m_Previous; ///< Empty at the start of a chain.
-    std::string m_Text;
+    Key m_Previous;            ///< Empty at the start of a chain.
+    std::uint64_t m_Entry = 0; ///< Index of the entry that holds its text.
     std::uint64_t m_ExpiresMs = 0;
   };
   struct ProgramState {
@@ -82,8 +89,11 @@
   };
 
   void begin(const BeginTurn &Command, std::uint64_t WallMs);
-  void end(EndTurn &Command, std::uint64_t WallMs);
-  void keep(EndTurn &Command, std::uint64_t WallMs);
+  void end(std::uint64_t Index, const EndTurn &Command, std::uint64_t WallMs);
+  void keep(std::uint64_t Index, const EndTurn &Command, std::uint64_t WallMs);
+  void adopt(std::uint64_t Index, const messages::fleet::AdoptTurn &Command,
+             std::uint64_t WallMs);
+  void put(const Key &Name, KeptTurn Row);
   void expire(std::uint64_t WallMs);
   ProgramState &programOf(const std::string &Organisation,
                           const std::string &Program, std::uint64_t ExpiresMs);
@@ -91,6 +101,7 @@
 
   TurnLedgerOptions m_Options;
   std::unordered_map<Key, KeptTurn> m_Turns;
+  std::set<std::uint64_t> m_Entries; ///< Of all turns.
   std::unordered_map<Key, ProgramState> m_Programs;
   ExpiryQueue m_TurnExpiry;
   ExpiryQueue m_ProgramExpiry;
--- a/tests/correctness/GroupRandomTest.cpp
+++ b/tests/correctness/GroupRandomTest.cpp
@@ -27,6 +27,7 @@
   for (const std::string &Each : Group.acknowledged())
     EXPECT_TRUE(Known.contains(Each)) << "lost: " << Each;
   EXPECT_EQ(Group.findDivergence(), std::nullopt);
+  EXPECT_EQ(Group.findUnreadable(*Leader), std::nullopt);
 }
 
 /// One fault at a time of those that take a disk or a vote; any may freeze.
@@ -73,7 +74,8 @@
   GroupSimulation Group({.m_Seed = Seed,
                          .m_Nodes = 3 + Seed % 3,
                          .m_Founders = 3,
-                         .m_TargetMembers = Seed % 3 == 2 ? 5U : 3U});
+                         .m_TargetMembers = Seed % 3 == 2 ? 5U : 3U,
+                         .m_StandingLearners = Seed % 2 == 0});
   Group.pass(seconds(3));
   std::uint64_t Command = 0;
   for (int Round = 0; Round < 8; ++Round) {
@@ -85,6 +87,9 @@
     // The tolerated losses don't overlap: the group catches up between them.
     Group.pass(seconds(4));
     EXPECT_EQ(Group.findDivergence(), std::nullopt);
+    if (Seed % 4 == 1)
+      for (std::size_t Each = 0; Each < Group.size(); ++Each)
+        Group.leaveIfRemoved(Each);
   }
   Group.healAll();
   Group.pass(seconds(5));
--- a/tests/correctness/JournalTest.cpp
+++ b/tests/correctness/JournalTest.cpp
@@ -21,7 +21,9 @@
     return std::make_unique<FileJournal>(
         FileJournalOptions{.m_Folder = m_Folder.path() / "a" / "journal",
                            .m_SegmentBytes = SegmentBytes},
-        [&](std::string_view Record) { m_Restored.emplace_back(Record); });
+        [&](std::uint64_t, std::string_view Record) {
+          m_Restored.emplace_back(Record);
+        });
   }
 
   std::size_t fileCount() const {
@@ -113,5 +115,92 @@
   EXPECT_NE(Wiped.m_Identity, First.m_Identity);
 }
 
+class JournalReadTest : public testing::Test {
+protected:
+  std::unique_ptr<FileJournal> open() {
+    m_Restored.clear();
+    return std::make_unique<FileJournal>(
+        FileJournalOptions{.m_Folder = m_Folder.path(),
+                           .m_SegmentBytes = 200,
+                           .m_ReadsBack = true},
+        [&](std::uint64_t Sequence, std::string_view) {
+          m_Restored.push_back(Sequence);
+        });
+  }
+
+  static std::string textOf(std::uint64_t Sequence) {
+    return "record " + std::to_string(Sequence) + std::string(40, '.');
+  }
+
+  tests::TemporaryFolder m_Folder;
+  std::vector<std::uint64_t> m_Restored;
+};
+
+TEST_F(JournalReadTest, ReadsBackWhatWasAppended) {
+  auto Journal = open();
+  for (std::uint64_t Each = 1; Each <= 30; ++Each) {
+    Journal->append(textOf(Each));
+    if (Each % 3 == 0)
+      Journal->sync();
+  }
+  Journal->append(textOf(31));
+  EXPECT_GT(Journal->segmentCount(), 3U);
+  {
+    SCOPED_TRACE("synced and not yet synced ones");
+    for (std::uint64_t Each = 1; Each <= 31; ++Each)
+      EXPECT_EQ(Journal->read(Each), textOf(Each));
+  }
+  {
+    SCOPED_TRACE("after a restart too, without the one that wasn't synced");
+    Journal.reset();
+    Journal = open();
+    EXPECT_EQ(m_Restored.size(), 30U);
+    for (std::uint64_t Each = 1; Each <= 30; ++Each)
+      EXPECT_EQ(Journal->read(Each), textOf(Each));
+    EXPECT_EQ(Journal->append("next"), 31U);
+  }
+}
+
+TEST_F(JournalReadTest, ReleasesWholeSegments) {
+  auto Journal = open();
+  for (std::uint64_t Each = 1; Each <= 30; ++Each) {
+    Journal->append(textOf(Each));
+    Journal->sync();
+  }
+  const std::size_t Before = Journal->segmentCount();
+  const std::uint64_t Bytes = Journal->diskBytes();
+  Journal->release(17);
+  EXPECT_LT(Journal->segmentCount(), Before);
+  EXPECT_LT(Journal->diskBytes(), Bytes);
+  EXPECT_EQ(Journal->read(17), textOf(17));
+  {
+    SCOPED_TRACE("a restart begins with the first segment that is left");
+    Journal.reset();
+    Journal = open();
+    EXPECT_GT(m_Restored.front(), 1U);
+    EXPECT_LE(m_Restored.front(), 17U);
+    EXPECT_EQ(m_Restored.back(), 30U);
+    EXPECT_EQ(Journal->read(30), textOf(30));
+  }
+}
+
+TEST_F(JournalReadTest, ADamagedRecordIsAnErrorThatNamesFileAndOffset) {
+  auto Journal = open();
+  Journal->append(textOf(1));
+  Journal->sync();
+  const std::filesystem::path Path =
+      m_Folder.path() / "segment-00000000000000000001";
+  std::string Content = readFile(Path);
+  Content[Content.size() - 5] = 'x';
+  replaceFile(Path, Content);
+  try {
+    Journal->read(1);
+    FAIL() << "the damaged record was returned";
+  } catch (const base::UserError &Fault) {
+    EXPECT_NE(std::string(Fault.what()).find("segment-"), std::string::npos);
+    EXPECT_NE(std::string(Fault.what()).find("offset 24"), std::string::npos);
+  }
+}
+
 } // namespace
 } // namespace psp::storage
--- a/tests/correctness/LeaderSearchTest.cpp
+++ b/tests/correctness/LeaderSearchTest.cpp
@@ -53,7 +53,7 @@
   }
   {
     SCOPED_TRACE("the leader is found: all go on");
-    m_Search.found("history-1");
+    m_Search.found("history-1", base::readMonotonic());
     m_Search.leave();
     settle();
     EXPECT_EQ(m_Sought, 2);
--- a/tests/correctness/TurnLedgerTest.cpp
+++ b/tests/correctness/TurnLedgerTest.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 namespace psp::turns {
 namespace {
 
@@ -23,7 +25,7 @@
     Begin.set_most(Most);
     Begin.set_previous(Previous);
     Begin.set_retention_ms(60'000);
-    m_Ledger.apply(Command, m_WallMs);
+    m_Ledger.apply(++m_Index, Command, m_WallMs);
     return m_Ledger.lastBegin();
   }
 
@@ -39,10 +41,31 @@
     End.set_text(Text);
     End.set_previous(Previous);
     End.set_retention_ms(60'000);
-    m_Ledger.apply(Command, m_WallMs);
+    m_Ledger.apply(++m_Index, Command, m_WallMs);
+    m_Texts[m_Index] = Text;
+  }
+
+  std::optional<std::string> chainText(const std::string &Organisation,
+                                       const std::string &Turn) const {
+    return textOf(m_Ledger, Organisation, Turn);
+  }
+
+  /// What the entries of the chain hold, as a reader of the log finds it.
+  std::optional<std::string> textOf(const TurnLedger &Ledger,
+                                    const std::string &Organisation,
+                                    const std::string &Turn) const {
+    const auto Entries = Ledger.chain(Organisation, Turn);
+    if (!Entries)
+      return std::nullopt;
+    std::string Text;
+    for (const std::uint64_t Each : *Entries)
+      Text += m_Texts.at(Each);
+    return Text;
   }
 
   TurnLedger m_Ledger;
+  std::uint64_t m_Index = 0;
+  std::map<std::uint64_t, std::string> m_Texts; ///< By entry.
   std::uint64_t m_WallMs = 1'000'000;
 };
 
@@ -88,8 +111,8 @@
     end("b", 10, "two ", "a");
     EXPECT_EQ(begin("c", 10, "a"), BeginOutcome::Granted);
     end("c", 10, "three ", "a");
-    EXPECT_EQ(m_Ledger.chainText("guild", "b"), "one two ");
-    EXPECT_EQ(m_Ledger.chainText("guild", "c"), "one three ");
+    EXPECT_EQ(chainText("guild", "b"), "one two ");
+    EXPECT_EQ(chainText("guild", "c"), "one three ");
   }
   {
     SCOPED_TRACE("another organisation doesn't see it");
@@ -102,11 +125,59 @@
     end("d", 10, "four ", "b");
     m_WallMs += 40'000;
     EXPECT_EQ(begin("e", 10, "d"), BeginOutcome::Granted);
-    EXPECT_EQ(m_Ledger.chainText("guild", "d"), "one two four ");
+    EXPECT_EQ(chainText("guild", "d"), "one two four ");
     EXPECT_EQ(begin("f", 10, "c"), BeginOutcome::NoSuchTurn);
   }
 }
 
+/// The log may drop what lies before the oldest entry.
+TEST_F(TurnLedgerTest, NamesTheOldestEntryThatIsNeeded) {
+  EXPECT_EQ(m_Ledger.oldestEntry(), std::nullopt);
+  begin("a", 10);
+  end("a", 10, "one ");
+  const std::uint64_t First = m_Index;
+  begin("b", 10);
+  end("b", 10, "two ");
+  const std::uint64_t Second = m_Index;
+  EXPECT_EQ(m_Ledger.oldestEntry(), First);
+  {
+    SCOPED_TRACE("a child prolongs its parent, the other turn expires");
+    m_WallMs += 50'000;
+    begin("c", 10, "b");
+    end("c", 10, "three ", "b");
+    m_WallMs += 20'000;
+    begin("d", 10);
+    EXPECT_EQ(m_Ledger.oldestEntry(), Second);
+  }
+  {
+    SCOPED_TRACE("in the end nothing is needed");
+    m_WallMs += 90'000;
+    begin("e", 10);
+    EXPECT_EQ(m_Ledger.oldestEntry(), std::nullopt);
+  }
+}
+
+/// Found on bench days: after a power cut new programs continue from turns of
+/// others, which another group may hold.
+TEST_F(TurnLedgerTest, AnAdoptedTurnStandsForItsWholeChain) {
+  HistoryCommand Command;
+  auto &Adopted = *Command.mutable_adopt();
+  Adopted.set_turn("old");
+  Adopted.set_organisation("guild");
+  Adopted.set_text("one two ");
+  Adopted.set_retention_ms(60'000);
+  m_Ledger.apply(++m_Index, Command, m_WallMs);
+  m_Texts[m_Index] = "one two ";
+  EXPECT_EQ(begin("a", 10, "old"), BeginOutcome::Granted);
+  end("a", 10, "three ", "old");
+  EXPECT_EQ(chainText("guild", "a"), "one two three ");
+  {
+    SCOPED_TRACE("adopted again it stays as it is");
+    m_Ledger.apply(++m_Index, Command, m_WallMs);
+    EXPECT_EQ(chainText("guild", "a"), "one two three ");
+  }
+}
+
 TEST_F(TurnLedgerTest, ASnapshotHoldsEverything) {
   begin("a", 40);
   begin("b", 40);
@@ -115,7 +186,8 @@
   Restored.restore(m_Ledger.snapshot());
   EXPECT_EQ(Restored.snapshot(), m_Ledger.snapshot());
   EXPECT_EQ(Restored.committedTokens("guild", "p"), 64U);
-  EXPECT_EQ(Restored.chainText("guild", "a"), "one ");
+  EXPECT_EQ(textOf(Restored, "guild", "a"), "one ");
+  EXPECT_EQ(Restored.oldestEntry(), m_Ledger.oldestEntry());
 }
 
 } // namespace
--- a/tests/error/DataFolderTest.cpp
+++ b/tests/error/DataFolderTest.cpp
@@ -30,7 +30,7 @@
     storage::openFolderIdentity(root(), base::InstanceId("a-ledger"), 1);
     storage::FileJournal Journal(
         {.m_Folder = root() / "programs", .m_SegmentBytes = 400},
-        [](std::string_view) {});
+        [](std::uint64_t, std::string_view) {});
     messages::ReplicaRecord First;
     First.set_generation(std::string(32, 'a'));
     Journal.append(First.SerializeAsString());
--- a/tests/error/JournalDamageTest.cpp
+++ b/tests/error/JournalDamageTest.cpp
@@ -20,15 +20,16 @@
 protected:
   std::vector<std::string> open() {
     std::vector<std::string> Restored;
-    FileJournal Journal(
-        {.m_Folder = m_Folder.path()},
-        [&](std::string_view Record) { Restored.emplace_back(Record); });
+    FileJournal Journal({.m_Folder = m_Folder.path()},
+                        [&](std::uint64_t, std::string_view Record) {
+                          Restored.emplace_back(Record);
+                        });
     m_CutBytes = Journal.cutBytes();
     return Restored;
   }
 
   void writeBatches(int Count) {
-    FileJournal Journal({.m_Folder = m_Folder.path()}, [](auto) {});
+    FileJournal Journal({.m_Folder = m_Folder.path()}, [](auto, auto) {});
     for (int I = 0; I < Count; ++I) {
       Journal.append("first of " + std::to_string(I));
       Journal.append("second of " + std::to_string(I));
@@ -88,7 +89,7 @@
 TEST_F(JournalDamageTest, MissingSegmentOrBadSnapshotIsAnError) {
   {
     FileJournal Journal({.m_Folder = m_Folder.path(), .m_SegmentBytes = 1},
-                        [](auto) {});
+                        [](auto, auto) {});
     for (int I = 0; I < 4; ++I) {
       Journal.append("record");
       Journal.sync();
@@ -118,7 +119,7 @@
     std::string Content = (Run % 2 == 0 ? "" : Valid) + Bytes(Random() % 200);
     std::size_t Count = 0;
     SegmentContent Read = readSegment("random", Content, 1, 0,
-                                      [&](std::string_view) { ++Count; });
+                                      [&](const SegmentRecord &) { ++Count; });
     EXPECT_EQ(Count, Run % 2 == 0 ? 0U : 2U);
     EXPECT_EQ(Read.m_ValidBytes, Run % 2 == 0 ? 0U : Valid.size());
 
--- a/tests/performance/JournalBenchmark.cpp
+++ b/tests/performance/JournalBenchmark.cpp
@@ -14,7 +14,7 @@
 
 void appendAndSync(benchmark::State &State) {
   tests::TemporaryFolder Folder;
-  FileJournal Journal({.m_Folder = Folder.path()}, [](auto) {});
+  FileJournal Journal({.m_Folder = Folder.path()}, [](auto, auto) {});
   std::string Record(RecordBytes, 'x');
   for (auto Step : State) {
     for (std::int64_t I = 0; I < State.range(0); ++I)
--- a/tests/support/ControlSimulation.cpp
+++ b/tests/support/ControlSimulation.cpp
@@ -75,8 +75,9 @@
                               .m_CheckpointEntries =
                                   m_Options.m_CheckpointEntries},
         Each.m_Journal);
-    Each.m_Journal.replay(
-        [&](std::string_view Record) { Each.m_Voter->restoreRecord(Record); });
+    Each.m_Journal.replay([&](std::uint64_t, std::string_view Record) {
+      Each.m_Voter->restoreRecord(Record);
+    });
     handle(Each,
            [&](Node &Self, Outbox &) { Self.m_Voter->start(clockOf(Self)); });
   } else {
--- a/tests/support/GroupSimulation.cpp
+++ b/tests/support/GroupSimulation.cpp
@@ -1,5 +1,8 @@
 #include "support/GroupSimulation.h"
 
+#include "base/Error.h"
+#include "messages/Parse.h"
+
 #include <algorithm>
 #include <sstream>
 
@@ -15,8 +18,35 @@
 
 } // namespace
 
+std::string SimulatedDisk::read(std::uint64_t Sequence) const {
+  if (Sequence >= m_Next)
+    return m_Pending.at(Sequence - m_Next);
+  const auto Found = std::ranges::lower_bound(
+      m_Synced, Sequence, {}, [](const auto &Each) { return Each.first; });
+  base::checkInvariant(Found != m_Synced.end() && Found->first == Sequence,
+                       "simulated disk: read of a released record");
+  return Found->second;
+}
+
+void SimulatedDisk::release(std::uint64_t Sequence) {
+  constexpr std::uint64_t SegmentRecords = 200;
+  const std::uint64_t From = Sequence / SegmentRecords * SegmentRecords;
+  std::erase_if(m_Synced, [&](const auto &Each) { return Each.first < From; });
+}
+
+void CommandList::apply(std::uint64_t Index, std::string_view Command,
+                        std::uint64_t) {
+  m_Commands.emplace_back(Command);
+  m_Entries.push_back(Index);
+  if (m_Entries.size() > Referred)
+    m_Entries.pop_front();
+}
+
 std::string CommandList::snapshot() const {
   std::string Text;
+  for (const std::uint64_t Each : m_Entries)
+    Text += std::to_string(Each) + ' ';
+  Text += '\n';
   for (const std::string &Each : m_Commands)
     Text += Each + '\n';
   return Text;
@@ -24,17 +54,27 @@
 
 void CommandList::restore(std::string_view Snapshot) {
   m_Commands.clear();
+  m_Entries.clear();
   std::istringstream In{std::string(Snapshot)};
-  for (std::string Line; std::getline(In, Line);)
+  std::string Line;
+  std::getline(In, Line);
+  std::istringstream Numbers{Line};
+  for (std::uint64_t Each = 0; Numbers >> Each;)
+    m_Entries.push_back(Each);
+  while (std::getline(In, Line))
     m_Commands.push_back(Line);
 }
 
+std::optional<std::uint64_t> CommandList::oldestEntry() const {
+  return m_Entries.empty() ? std::nullopt : std::optional(m_Entries.front());
+}
+
 GroupSimulation::GroupSimulation(GroupSimulationOptions Options)
     : m_Options(Options), m_Random(Options.m_Seed), m_Nodes(Options.m_Nodes) {
   messages::fleet::GroupMembership Founders;
   for (std::size_t Each = 0; Each < m_Nodes.size(); ++Each) {
-    m_Nodes[Each].m_Disk = std::make_unique<SimulatedDisk>();
-    boot(Each, false);
+    m_Nodes[Each].m_Disk = makeDisk();
+    boot(Each);
     if (Each < Options.m_Founders) {
       auto &Member = *Founders.add_members();
       Member.set_id(m_Nodes[Each].m_Identity);
@@ -53,7 +93,11 @@
               static_cast<base::WallTime>(m_Time.time_since_epoch().count())};
 }
 
-void GroupSimulation::boot(std::size_t Index, bool) {
+std::unique_ptr<SimulatedDisk> GroupSimulation::makeDisk() {
+  return std::make_unique<SimulatedDisk>("disk" + std::to_string(++m_Disks));
+}
+
+void GroupSimulation::boot(std::size_t Index) {
   Node &Booted = m_Nodes[Index];
   Booted.m_Machine = std::make_unique<CommandList>();
   Booted.m_Group = std::make_unique<consensus::Group>(
@@ -62,9 +106,11 @@
                               .m_Seed = m_Random()},
       *Booted.m_Disk, *Booted.m_Machine);
   for (const auto &[Sequence, Record] : Booted.m_Disk->records())
-    Booted.m_Group->restore(Record);
-  Booted.m_Group->start("disk" + std::to_string(++m_Boots), now());
-  Booted.m_Identity = Booted.m_Group->identity();
+    Booted.m_Group->restore(Sequence,
+                            messages::parseMessage<consensus::GroupLog::Record>(
+                                Record, "simulated disk"));
+  Booted.m_Identity = Booted.m_Disk->identity();
+  Booted.m_Group->start(Booted.m_Identity, now());
   Booted.m_Frozen = false;
   Booted.m_Proposed.clear();
   settle(Index);
@@ -94,10 +140,10 @@
 
 void GroupSimulation::wipe(std::size_t Index) {
   crash(Index);
-  m_Nodes[Index].m_Disk = std::make_unique<SimulatedDisk>();
+  m_Nodes[Index].m_Disk = makeDisk();
 }
 
-void GroupSimulation::restart(std::size_t Index) { boot(Index, false); }
+void GroupSimulation::restart(std::size_t Index) { boot(Index); }
 
 void GroupSimulation::freeze(std::size_t Index, bool Frozen) {
   m_Nodes[Index].m_Frozen = Frozen;
@@ -165,12 +211,12 @@
   Node &Settled = m_Nodes[Index];
   consensus::Group &Group = *Settled.m_Group;
   post(Index, Group.takeEarly(now()));
-  if (auto Checkpoint = Group.takeCheckpoint())
-    Settled.m_Disk->replace(*Checkpoint);
   Settled.m_Disk->sync();
   Group.onSynced(now());
   post(Index, Group.takeMessages());
   post(Index, Group.takeEarly(now()));
+  if (Group.oldestNeeded() > 0)
+    Settled.m_Disk->release(Group.oldestNeeded());
   if (!Group.isLeader() || Group.term() != Settled.m_ProposedTerm)
     return;
   std::erase_if(Settled.m_Proposed, [&](const auto &Each) {
@@ -243,15 +289,40 @@
          .m_Reachable = Each == Index || Answers,
          .m_CaughtUp = Each == Index || Group.isCaughtUp(Known.m_Identity)});
   }
-  if (Group.wantsHandOver()) {
-    Group.handOver(now());
-    return;
-  }
-  Group.setLearners(consensus::planLearners(Input, 2));
+  Group.setLearners(m_Options.m_StandingLearners
+                        ? consensus::planLearners(Input, 2)
+                        : consensus::planSubstitute(Input));
   if (const auto Next = consensus::planMembership(Input))
     Group.changeMembership(*Next, now());
 }
 
+std::optional<std::string>
+GroupSimulation::findUnreadable(std::size_t Index) const {
+  const Node &Known = m_Nodes[Index];
+  const CommandList &State = *Known.m_Machine;
+  for (std::size_t Each = 0; Each < State.m_Entries.size(); ++Each) {
+    const std::string &Applied =
+        State.m_Commands[State.m_Commands.size() - State.m_Entries.size() +
+                         Each];
+    if (Known.m_Group->commandAt(State.m_Entries[Each]) != Applied)
+      return Applied;
+  }
+  return std::nullopt;
+}
+
+void GroupSimulation::leaveIfRemoved(std::size_t Index) {
+  const auto Leads = leader();
+  Node &Left = m_Nodes[Index];
+  if (!Leads || !Left.m_Group || *Leads == Index)
+    return;
+  for (const auto &Each :
+       m_Nodes[*Leads].m_Group->committedMembership().members())
+    if (Each.id() == Left.m_Identity)
+      return;
+  Left.m_Group->leave(m_Time);
+  settle(Index);
+}
+
 std::optional<std::string> GroupSimulation::findDivergence() const {
   for (std::size_t Left = 0; Left < m_Nodes.size(); ++Left)
     for (std::size_t Right = Left + 1; Right < m_Nodes.size(); ++Right) {
--- a/tests/support/GroupSimulation.h
+++ b/tests/support/GroupSimulation.h
@@ -9,6 +9,7 @@
 #include "consensus/MembershipPlan.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,8 +21,12 @@
 namespace psp::testsupport {
 
 /// A disk that forgets what wasn't synced.
-class SimulatedDisk : public base::RecordSink {
+class SimulatedDisk : public base::RecordStore {
 public:
+  explicit SimulatedDisk(std::string Identity)
+      : m_Identity(std::move(Identity)) {}
+
+  const std::string &identity() const { return m_Identity; }
   std::uint64_t append(std::string_view Record) override {
     m_Pending.emplace_back(Record);
     return ++m_Appended;
@@ -31,13 +36,10 @@
       m_Synced.emplace_back(m_Next++, std::move(Each));
     m_Pending.clear();
   }
-  void replace(const consensus::GroupCheckpoint &Content) {
-    sync();
-    std::erase_if(m_Synced, [&](const auto &Each) {
-      return Each.first <= Content.m_Covered;
-    });
-    m_Synced.insert(m_Synced.begin(), {Content.m_Covered, Content.m_Record});
-  }
+  std::string read(std::uint64_t Sequence) const override;
+  /// Forgets records before \p Sequence, some later than they might be: a real
+  /// journal drops whole segments.
+  void release(std::uint64_t Sequence);
   void losePower() {
     m_Pending.clear();
     m_Appended = m_Next - 1;
@@ -47,22 +49,27 @@
   }
 
 private:
+  std::string m_Identity;
   std::vector<std::pair<std::uint64_t, std::string>> m_Synced;
   std::vector<std::string> m_Pending;
   std::uint64_t m_Appended = 0;
   std::uint64_t m_Next = 1;
 };
 
-/// Remembers every command that was applied, in order.
+/// Remembers every command that was applied, in order, and refers to the
+/// entries of the last few.
 class CommandList : public consensus::StateMachine {
 public:
-  void apply(std::uint64_t, std::string_view Command, std::uint64_t) override {
-    m_Commands.emplace_back(Command);
-  }
+  static constexpr std::size_t Referred = 25;
+
+  void apply(std::uint64_t Index, std::string_view Command,
+             std::uint64_t) override;
   std::string snapshot() const override;
   void restore(std::string_view Snapshot) override;
+  std::optional<std::uint64_t> oldestEntry() const override;
 
   std::vector<std::string> m_Commands;
+  std::deque<std::uint64_t> m_Entries; ///< Of the last commands.
 };
 
 struct GroupSimulationOptions {
@@ -72,6 +79,9 @@
   std::size_t m_TargetMembers = 3;
   double m_LossShare = 0.02;
   std::uint64_t m_CompactBytes = 3000;
+  /// Nodes beside the members receive the log all the time; otherwise only
+  /// while a member is missing.
+  bool m_StandingLearners = true;
   /// Messages between two nodes keep their order, as on one connection.
   bool m_KeepsOrder = false;
 };
@@ -111,6 +121,15 @@
   std::uint64_t entriesSent() const { return m_EntriesSent; }
   std::mt19937_64 &random() { return m_Random; }
   std::size_t size() const { return m_Nodes.size(); }
+  /// A command that the state of \p Node refers to and that can't be read back
+  /// there.
+  std::optional<std::string> findUnreadable(std::size_t Node) const;
+  /// The machine leaves the group if the group's leader doesn't list it.
+  void leaveIfRemoved(std::size_t Node);
+  /// Records on the node's disk.
+  std::size_t recordCount(std::size_t Node) const {
+    return m_Nodes[Node].m_Disk->records().size();
+  }
   /// Whether any two nodes have applied different commands at one place.
   std::optional<std::string> findDivergence() const;
 
@@ -131,7 +150,8 @@
     consensus::Group::Message m_Message;
   };
 
-  void boot(std::size_t Node, bool Found);
+  std::unique_ptr<SimulatedDisk> makeDisk();
+  void boot(std::size_t Node);
   void settle(std::size_t Node);
   void post(std::size_t From,
             const std::vector<consensus::Group::Message> &Messages);
@@ -146,7 +166,7 @@
   std::vector<Flight> m_Flights;
   std::set<std::pair<std::size_t, std::size_t>> m_Cuts;
   std::set<std::string> m_Acknowledged;
-  std::uint64_t m_Boots = 0;
+  std::uint64_t m_Disks = 0;
   std::uint64_t m_EntriesSent = 0;
 };
 
--- a/tests/support/MemoryJournal.h
+++ b/tests/support/MemoryJournal.h
@@ -44,9 +44,10 @@
 
   void replay(const storage::RecordHandler &Restore) const {
     if (!m_Snapshot.empty())
-      Restore(m_Snapshot);
+      Restore(m_Covered, m_Snapshot);
+    std::uint64_t Sequence = m_Covered;
     for (const std::string &Record : m_Records)
-      Restore(Record);
+      Restore(++Sequence, Record);
   }
 
 private:
