Answers without end are given up

Cause: bytes that are no answer may come until the caller closes. A chunk's header, a trailer or a line of events without end was collected in memory without a limit, and events beyond what a turn may generate were passed on until the route's time-out.

Ruled out: heads, which had a limit already.

--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -77,6 +77,7 @@
   std::string answerHead(const ResponseHead &Head,
                          const std::string &Framing) const;
   bool mayRepeat() const;
+  bool isBeyondMost(std::uint64_t Tokens) const;
   /// Ends the wait for \p Endpoint when that is out of reach.
   void watchSilence(const std::string &Endpoint);
   void endSilenceWatch();
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -301,7 +301,12 @@
     m_Owner.node().log().write(
         "foreign_answer_skipped",
         {{"request", m_Facts.m_Id}, {"found", Facts.m_RequestId}});
-    while (!(co_await Channel.readSome()).empty()) {
+    std::size_t Skipped = 0;
+    while (Skipped < WholeAnswerBytes) {
+      const std::size_t Count = (co_await Channel.readSome()).size();
+      if (Count == 0)
+        break;
+      Skipped += Count;
     }
     if (!Channel.isComplete())
       co_return false;
@@ -345,6 +350,18 @@
     Events.feed(Piece);
     const std::uint64_t Begun =
         Events.eventCount() + (Events.isBetweenEvents() ? 0 : 1);
+    // It would be passed on until the caller leaves, and beyond its budget.
+    if (Events.isOverlong() || isBeyondMost(Begun * TokensPerEvent)) {
+      m_Owner.node().log().write(
+          "endpoint_overran",
+          {{"request", m_Facts.m_Id},
+           {"endpoint", m_RanOn},
+           {"tokens", Begun * TokensPerEvent},
+           {"most", m_Facts.m_MostTokens},
+           {"overlong_event", Events.isOverlong() ? "yes" : "no"}});
+      Channel.abort();
+      co_return m_Answering ? SendOutcome::Broken : SendOutcome::Unknown;
+    }
     m_Tokens = Begun * TokensPerEvent;
     LastAt = base::readMonotonic();
     m_Owner.placement().onHeard(m_RanOn, LastAt);
@@ -377,6 +394,13 @@
   co_return SendOutcome::Answered;
 }
 
+/// Whether \p Tokens are more than the turn may generate, its last event full.
+bool Call::isBeyondMost(std::uint64_t Tokens) const {
+  const fleet::ServiceSpec *Service = m_Table->service(m_Service);
+  return m_IsTurn && m_Facts.m_MostTokens > 0 && Service &&
+         Tokens >= m_Facts.m_MostTokens + 2 * Service->m_TokensPerEvent;
+}
+
 asio::awaitable<bool> Call::write(std::string_view Bytes) {
   boost::system::error_code Error;
   co_await asio::async_write(m_Caller, asio::buffer(Bytes),
--- a/src/gateway/EndpointChannel.h
+++ b/src/gateway/EndpointChannel.h
@@ -64,7 +64,11 @@
   boost::asio::io_context &m_Io;
   std::string m_Address;
   boost::asio::ip::tcp::socket m_Socket;
-  boost::beast::flat_buffer m_Buffer;
+  /// Bytes that are read and not yet taken: a whole head, or a chunk's header
+  /// with its extensions. A server that goes on with one for longer is given
+  /// up.
+  static constexpr std::size_t BufferBytes = 64U << 10U;
+  boost::beast::flat_buffer m_Buffer{BufferBytes};
   std::unique_ptr<Parser> m_Parser;
   std::vector<char> m_Chunk;
   bool m_Used = false;
--- a/src/gateway/EventStream.cpp
+++ b/src/gateway/EventStream.cpp
@@ -7,14 +7,17 @@
 namespace {
 
 constexpr std::string_view DataField = "data:";
+/// An event with some hundred tokens has a few thousand bytes.
+constexpr std::size_t MostEventBytes = 1U << 20U;
 
 } // namespace
 
 void EventStream::feed(std::string_view Bytes) {
-  while (!Bytes.empty()) {
+  while (!Bytes.empty() && !m_Overlong) {
     const std::size_t End = Bytes.find('\n');
     if (End == std::string_view::npos) {
       m_Line += Bytes;
+      m_Overlong = m_Line.size() > MostEventBytes;
       return;
     }
     m_Line += Bytes.substr(0, End);
@@ -36,6 +39,7 @@
       if (std::exchange(m_HasData, true))
         m_Data += '\n';
       m_Data += Line;
+      m_Overlong = m_Data.size() > MostEventBytes;
     }
     return;
   }
--- a/src/gateway/EventStream.h
+++ b/src/gateway/EventStream.h
@@ -21,6 +21,9 @@
   std::uint64_t eventCount() const { return m_Events; }
   /// Whether the bytes so far end between two events.
   bool isBetweenEvents() const { return m_Line.empty() && !m_InEvent; }
+  /// Whether an event is longer than any that a sound endpoint sends; nothing
+  /// more is collected then.
+  bool isOverlong() const { return m_Overlong; }
   const std::string &text() const { return m_Text; }
 
 private:
@@ -31,6 +34,7 @@
   std::string m_Data;
   bool m_InEvent = false;
   bool m_HasData = false;
+  bool m_Overlong = false;
   std::uint64_t m_Events = 0;
   std::string m_Text;
 };
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -27,6 +27,7 @@
 CASES = pathlib.Path(__file__).with_name("regressions.txt")
 HOST, KEY, TOKENS_PER_EVENT = "soak.example", "soak-key", 4
 PROMISES = (408, 421, 429, 503)
+MOST_ENTRY_MB = 88  # Of the smallest entry machines.
 
 
 class Endpoint:
@@ -71,6 +72,8 @@
         request = fields.get("request-id", "")
         self.world.on_run(request, fields, body)
         start = f"HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nServer-Signature: s\r\n"
+        if self.world.random.random() < 0.004:
+            await self._go_on_for_ever(start, writer)
         answer = hashlib.sha256(request.encode() + body).hexdigest().encode()
         if not path.startswith("/turn/"):
             await asyncio.sleep(self.world.random.uniform(0.005, 0.03))
@@ -87,6 +90,21 @@
         await writer.drain()
 
 
+    async def _go_on_for_ever(self, start, writer):
+        """Bytes that are no answer, until the caller closes."""
+        chunked = start + "Transfer-Encoding: chunked\r\n\r\n"
+        first, rest = self.world.random.choice((
+            (start + "X: ", "a" * 4000), ("", "z" * 4000), (chunked + "5;x=", "a" * 4000),
+            (chunked, "fa0\r\n" + "a" * 4000 + "\r\n"), (start + "\r\n", "a" * 4000),
+            (chunked, "f\r\nid: 1\ndata: x\n\n\r\n")))
+        writer.write(first.encode())
+        while not self.world.over:
+            writer.write(rest.encode())
+            await writer.drain()
+            await asyncio.sleep(0)
+        raise OSError("the soak is over")
+
+
 class World:
     def __init__(self, seed, seconds, data, untimed):
         self.untimed = untimed
@@ -318,6 +336,9 @@
         return sum(1 for _, a in answers if a and a[0] == 200 and a[3])
 
     def check_promises(self):
+        for node in self.fleet.of("entry"):
+            if (peak := node.peak_mb()) > MOST_ENTRY_MB:
+                self.fail(f"{node.name} used {peak} MB")
         for request, status in self.answers.items():
             if request in self.runs and request.endswith("a"):
                 self.fail(f"{request} was answered {status} and ran")
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -117,6 +117,14 @@
         if self.process:
             self.process.wait()
 
+    def peak_mb(self):
+        """Most memory since the last start; 0 if it has ended."""
+        try:
+            status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return 0
+        return sum(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmHWM:")) // 1024
+
     def wipe(self):
         self.stop_now()
         shutil.rmtree(self.folder, ignore_errors=True)
