--- a/tests/correctness/MembershipPlanTest.cpp
+++ b/tests/correctness/MembershipPlanTest.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 namespace psp::consensus {
 namespace {
 
@@ -48,7 +50,7 @@
 TEST(MembershipPlanTest, ASilentMemberStaysWithoutASubstitute) {
   auto Input = threeMembers();
   Input.m_Candidates[1].m_Reachable = false;
-  EXPECT_EQ(planMembership(Input), std::nullopt);
+  EXPECT_FALSE(planMembership(Input));
   {
     SCOPED_TRACE("a substitute is added first, then the silent one goes");
     Input.m_Candidates.push_back(node("d", "y"));
@@ -80,5 +82,50 @@
             (std::set<std::string>{"a/1", "b/1", "d/1"}));
 }
 
+/// While all members are there nobody else receives a group's log, which would
+/// cross to another data centre for nothing.
+TEST(MembershipPlanTest, ASubstituteIsChosenOnlyWhileAMemberIsMissing) {
+  auto Input = threeMembers();
+  Input.m_Candidates.push_back(node("d", "y"));
+  Input.m_Candidates.push_back(node("e", "z"));
+  for (MemberCandidate &Each : Input.m_Candidates)
+    Each.m_CaughtUp = Each.m_Identity != "d/1" && Each.m_Identity != "e/1";
+  EXPECT_TRUE(planSubstitute(Input).empty());
+  {
+    SCOPED_TRACE("one from the data centre of the member that is gone");
+    Input.m_Candidates[2].m_Reachable = false;
+    EXPECT_EQ(planSubstitute(Input), std::set<std::string>{"e/1"});
+    EXPECT_FALSE(planMembership(Input));
+  }
+  {
+    SCOPED_TRACE("it becomes a member once it has caught up");
+    Input.m_Candidates[4].m_CaughtUp = true;
+    EXPECT_EQ(namesOf(planMembership(Input)),
+              (std::set<std::string>{"a/1", "b/1", "c/1", "e/1"}));
+  }
+}
+
+TEST(MembershipPlanTest, GroupsAreSpreadOverAllNodes) {
+  std::vector<MemberCandidate> Nodes;
+  for (int Each = 0; Each < 36; ++Each)
+    Nodes.push_back(
+        node("n" + std::to_string(Each), "dc" + std::to_string(Each % 5)));
+  const auto Groups = planGroups(Nodes, 5, 64);
+  ASSERT_EQ(Groups.size(), 64U);
+  std::map<std::string, int> Places;
+  for (const auto &Group : Groups) {
+    ASSERT_EQ(Group.members_size(), 5);
+    std::set<int> DataCentres;
+    for (const auto &Each : Group.members()) {
+      ++Places[Each.id()];
+      DataCentres.insert(std::stoi(Each.host().substr(1)) % 5);
+    }
+    EXPECT_EQ(DataCentres.size(), 5U) << "a data centre has two members";
+  }
+  for (const auto &[Node, Count] : Places)
+    EXPECT_LE(Count, 11) << Node << " has more than its share of 320 places";
+  EXPECT_EQ(Places.size(), 36U);
+}
+
 } // namespace
 } // namespace psp::consensus
