Entries under way aren't sent again to a slow member

Cause: entries without an answer were sent again after 250 ms. Members with empty disks, which work on the logs of ten groups at once, take longer; the same entries were queued again and again.

Ruled out: texts (their rows and the log are bounded, GroupMemoryTest).

Change: links keep the order and a member refuses what doesn't follow, so entries are sent again only after 1.5 s; entries aren't added to more than 1 MB of unsent bytes; a link closes at 24 MB in place of 96.

Before: 800 entries sent where 320 suffice (test ASlowMemberIsNotSentTheSameAgain, failed first).

--- a/src/consensus/Group.h
+++ b/src/consensus/Group.h
@@ -57,8 +57,12 @@
   /// A leader that hands over takes nothing new for this long, since its
   /// successor would lack it and get no votes: a few round trips and syncs.
   base::Duration m_HandOverPause = base::milliseconds(150);
-  /// Entries that are not acknowledged after this are sent again.
-  base::Duration m_ResendInterval = base::milliseconds(250);
+  /// Entries that are not acknowledged after this are sent again. Links keep
+  /// the order, and a member that lacks some refuses the next heartbeat, so
+  /// this is for answers that were lost only.
+  base::Duration m_ResendInterval = base::milliseconds(1500);
+  /// A snapshot is sent again to one member after this at the earliest.
+  base::Duration m_SnapshotInterval = base::milliseconds(1000);
   /// Longest batch of entries in one message, in bytes.
   std::uint64_t m_BatchBytes = 128U << 10U;
   /// Entries on their way to one member without an answer, in bytes: what a
--- a/src/consensus/GroupReplication.cpp
+++ b/src/consensus/GroupReplication.cpp
@@ -60,7 +60,7 @@
   Peer.m_Next = std::max<std::uint64_t>(Peer.m_Next, 1);
   const auto PreviousTerm = m_Log.termAt(Peer.m_Next - 1);
   if (!PreviousTerm) {
-    if (Now - Peer.m_SnapshotAt > 4 * m_Options.m_ResendInterval) {
+    if (Now - Peer.m_SnapshotAt > m_Options.m_SnapshotInterval) {
       Peer.m_SnapshotAt = Now;
       sendSnapshot(To);
     }
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -398,7 +398,8 @@
 bool Call::isBeyondMost(std::uint64_t Tokens) const {
   const fleet::ServiceSpec *Service = m_Table->service(m_Service);
   return m_IsTurn && m_Facts.m_MostTokens > 0 && Service &&
-         Tokens >= m_Facts.m_MostTokens + 2 * Service->m_TokensPerEvent;
+         Tokens >= m_Facts.m_MostTokens +
+                       std::uint64_t{2} * Service->m_TokensPerEvent;
 }
 
 asio::awaitable<bool> Call::write(std::string_view Bytes) {
--- a/src/link/GroupHost.cpp
+++ b/src/link/GroupHost.cpp
@@ -21,6 +21,9 @@
 /// Timers that are due this soon run with the one that is due now.
 constexpr base::Duration TimerSlack = base::milliseconds(3);
 
+/// Entries aren't added to more unsent bytes for one node than this.
+constexpr std::size_t MostBacklogBytes = 1U << 20U;
+
 std::string_view groupName(messages::fleet::GroupKind Kind) {
   return Kind == messages::fleet::GROUP_CONTROL ? "control" : "history";
 }
@@ -240,6 +243,11 @@
     const fleet::NodeState *Node = m_Nodes.findMember(Each.to());
     if (!Node)
       continue;
+    // A node that can't keep up refuses a later message and is sent the rest
+    // again: memory here is worth more.
+    if (Each.append().entries_size() > 0 &&
+        m_Links.unsentBytes(Node->name()) > MostBacklogBytes)
+      continue;
     LinkMessage Wrapped;
     Each.set_group(m_Options.m_Kind);
     *Wrapped.mutable_group() = std::move(Each);
--- a/src/link/Hub.cpp
+++ b/src/link/Hub.cpp
@@ -57,6 +57,12 @@
   return true;
 }
 
+std::size_t Hub::unsentBytes(const std::string &Node) const {
+  const auto Found = m_Nodes.find(Node);
+  return Found == m_Nodes.end() ? 0
+                                : Found->second.m_Links.back()->unsentBytes();
+}
+
 std::set<std::string> Hub::nodesUp() const {
   std::set<std::string> Names;
   for (const auto &[Name, Row] : m_Nodes)
--- a/src/link/Hub.h
+++ b/src/link/Hub.h
@@ -57,6 +57,8 @@
   /// False if there is no connection to \p Node.
   bool send(const std::string &Node, const LinkMessage &Message);
   bool isUp(const std::string &Node) const { return m_Nodes.contains(Node); }
+  /// Bytes for \p Node that haven't left yet.
+  std::size_t unsentBytes(const std::string &Node) const;
   std::set<std::string> nodesUp() const;
 
 private:
--- a/src/link/Link.h
+++ b/src/link/Link.h
@@ -28,9 +28,9 @@
   /// The other side is gone after this long without a message: three pings.
   base::Duration m_SilenceLimit = base::milliseconds(1800);
   /// Longest message, in bytes: a snapshot of a group's state.
-  std::uint32_t m_MessageBytes = 64U << 20U;
+  std::uint32_t m_MessageBytes = 16U << 20U;
   /// A connection with more unsent bytes than this is closed.
-  std::size_t m_UnsentBytes = 96U << 20U;
+  std::size_t m_UnsentBytes = 24U << 20U;
 };
 
 class Link : public std::enable_shared_from_this<Link> {
@@ -50,6 +50,7 @@
   void send(const LinkMessage &Message);
   void close(const std::string &Reason);
   bool isOpen() const { return m_Open; }
+  std::size_t unsentBytes() const { return m_QueuedBytes; }
 
   /// Name of the node at the other side, empty before its greeting.
   const std::string &peer() const { return m_Peer; }
--- a/tests/correctness/GroupElectionTest.cpp
+++ b/tests/correctness/GroupElectionTest.cpp
@@ -152,5 +152,28 @@
   }
 }
 
+/// Found on a bench day: members with empty disks were sent the same entries
+/// again while they still worked on them, until a leader's memory was full.
+TEST(GroupElectionTest, ASlowMemberIsNotSentTheSameAgain) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    SCOPED_TRACE("seed " + std::to_string(Seed));
+    GroupSimulation Group({.m_Seed = Seed,
+                           .m_LossShare = 0,
+                           .m_CompactBytes = 1U << 20U,
+                           .m_KeepsOrder = true});
+    Group.pass(seconds(3));
+    const std::size_t Slow = (Group.leader().value() + 1) % Group.size();
+    const std::uint64_t Before = Group.entriesSent();
+    CommandStream Commands(Group);
+    Group.freeze(Slow, true);
+    Commands.pass(160);
+    Group.pass(milliseconds(900));
+    Group.freeze(Slow, false);
+    Group.pass(seconds(2));
+    EXPECT_EQ(Group.applied(Slow).size(), 160U);
+    EXPECT_LE(Group.entriesSent() - Before, 2 * 160U + 40U);
+  }
+}
+
 } // namespace
 } // namespace psp::testsupport
