--- a/src/history/PlaceRequests.cpp
+++ b/src/history/PlaceRequests.cpp
@@ -67,6 +67,7 @@
     if (Matches(Each))
       Ids.push_back(Id);
   std::vector<Pending> Taken;
+  Taken.reserve(Ids.size());
   for (const std::uint64_t Id : Ids)
     Taken.push_back(std::move(*take(Id)));
   return Taken;
