--- a/tests/correctness/MembershipPlanTest.cpp
+++ b/tests/correctness/MembershipPlanTest.cpp
@@ -107,6 +107,7 @@
 
 TEST(MembershipPlanTest, GroupsAreSpreadOverAllNodes) {
   std::vector<MemberCandidate> Nodes;
+  Nodes.reserve(36);
   for (int Each = 0; Each < 36; ++Each)
     Nodes.push_back(
         node("n" + std::to_string(Each), "dc" + std::to_string(Each % 5)));
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -77,8 +77,11 @@
         answer = hashlib.sha256(request.encode() + body).hexdigest().encode()
         if not path.startswith("/turn/"):
             await asyncio.sleep(self.world.random.uniform(0.005, 0.03))
-            writer.write(start.encode() + f"Content-Length: {len(answer)}\r\n\r\n".encode() + answer)
+            whole = start.encode() + f"Content-Length: {len(answer)}\r\n\r\n".encode() + answer
+            writer.write(whole)
             await writer.drain()
+            if self.world.random.random() < 0.1:
+                asyncio.ensure_future(self._repeat(whole, writer))
             return
         writer.write((start + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
         for event in range(3):
@@ -90,6 +93,12 @@
         await writer.drain()
 
 
+    async def _repeat(self, whole, writer):
+        """A second copy of an answer, late, on a connection that may be in use again."""
+        await asyncio.sleep(self.world.random.uniform(0, 0.05))
+        if not writer.is_closing():
+            writer.write(whole)
+
     async def _go_on_for_ever(self, start, writer):
         """Bytes that are no answer, until the caller closes."""
         chunked = start + "Transfer-Encoding: chunked\r\n\r\n"
