--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -368,8 +368,13 @@
       .set(static_cast<std::int64_t>(Kept));
   for (auto &[Service, Desk] : m_Engines)
     Desk.expire(Now);
-  const RoomUsage Used{.m_MemoryBytes = node::residentBytes(),
-                       .m_DiskBytes = m_Groups->diskBytes()};
+  RoomUsage Used{.m_MemoryBytes = node::residentBytes(),
+                 .m_DiskBytes = m_Groups->diskBytes()};
+  // After a peak most of it is free, and the machine would stay full.
+  if (m_Room.isFullWith(Used)) {
+    node::releaseFreeMemory();
+    Used.m_MemoryBytes = node::residentBytes();
+  }
   if (m_Room.update(Used))
     m_Node.log().write("room_changed",
                        {{"full", m_Room.isFull() ? "yes" : "no"},
--- a/src/history/RoomWatch.h
+++ b/src/history/RoomWatch.h
@@ -27,12 +27,14 @@
 public:
   explicit RoomWatch(RoomLimits Limits) : m_Limits(Limits) {}
 
+  bool isFullWith(const RoomUsage &Used) const {
+    return std::max(share(Used.m_MemoryBytes, m_Limits.m_MemoryBytes),
+                    share(Used.m_DiskBytes, m_Limits.m_DiskBytes)) >
+           (m_Full ? OpenShare : FullShare);
+  }
   /// True if isFull() has changed.
   bool update(const RoomUsage &Now) {
-    const double Used =
-        std::max(share(Now.m_MemoryBytes, m_Limits.m_MemoryBytes),
-                 share(Now.m_DiskBytes, m_Limits.m_DiskBytes));
-    const bool Full = Used > (m_Full ? OpenShare : FullShare);
+    const bool Full = isFullWith(Now);
     return std::exchange(m_Full, Full) != Full;
   }
   bool isFull() const { return m_Full; }
--- a/src/node/MemoryUse.cpp
+++ b/src/node/MemoryUse.cpp
@@ -1,5 +1,6 @@
 #include "node/MemoryUse.h"
 
+#include <malloc.h>
 #include <unistd.h>
 
 #include <fstream>
@@ -15,4 +16,6 @@
   return Resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
 }
 
+void releaseFreeMemory() { ::malloc_trim(0); }
+
 } // namespace psp::node
--- a/src/node/MemoryUse.h
+++ b/src/node/MemoryUse.h
@@ -10,6 +10,9 @@
 
 /// Resident bytes of this process, zero where the system doesn't tell.
 std::uint64_t residentBytes();
+/// Gives memory that the process has freed back to the system, which the
+/// allocator keeps otherwise.
+void releaseFreeMemory();
 
 } // namespace psp::node
 
