--- a/src/history/ForeignTurns.cpp
+++ b/src/history/HistoryForeignTurns.cpp
@@ -30,65 +30,75 @@
   messages::fleet::FindTurn Wanted;
   Wanted.set_turn(Asked.begin().previous());
   Wanted.set_organisation(Asked.begin().organisation());
-  struct Outcome {
-    std::size_t m_Open = 0;
-    bool m_Unsure = false;
-    std::optional<std::string> m_Text;
+  const FoundTurn Found = co_await searchOtherGroups(Asked.group(), Wanted);
+  Asked = m_Searched.at(Turn);
+  m_Searched.erase(Turn);
+  m_Node.log().write("earlier_turn_searched",
+                     {{"request", Turn},
+                      {"previous", Wanted.turn()},
+                      {"found", Found.m_Text ? "yes" : "no"},
+                      {"unsure", Found.m_Unsure ? "yes" : "no"}});
+  if (!leads(Asked.group())) {
+    replyKind(From, Asked.id(), messages::fleet::REPLY_NOT_LEADER);
+  } else if (Found.m_Text) {
+    adopt(Asked, *Found.m_Text);
+    askForPlace(From, Asked);
+  } else if (Found.m_Unsure) {
+    replyKind(From, Asked.id(), messages::fleet::REPLY_UNAVAILABLE);
+  } else {
+    // The group's own log says so, once all earlier commands are applied.
+    propose(From, Asked, {});
+  }
+}
+
+void HistoryNode::adopt(const Request &Asked, const std::string &Text) {
+  messages::fleet::HistoryCommand Command;
+  auto &Adopted = *Command.mutable_adopt();
+  Adopted.set_turn(Asked.begin().previous());
+  Adopted.set_organisation(Asked.begin().organisation());
+  Adopted.set_text(Text);
+  Adopted.set_retention_ms(Asked.begin().retention_ms());
+  m_Groups->propose(Asked.group(), Command.SerializeAsString());
+}
+
+/// Asks the leaders of all groups but \p Own at once, until one has the turn.
+asio::awaitable<HistoryNode::FoundTurn>
+HistoryNode::searchOtherGroups(std::uint32_t Own,
+                               messages::fleet::FindTurn Wanted) {
+  struct Progress {
+    explicit Progress(asio::io_context &Io) : m_End(Io) {}
+    FoundTurn m_Found;
+    std::size_t m_Open = 0; ///< Groups that haven't answered.
+    link::Waiter m_End;
   };
-  auto Found = std::make_shared<Outcome>();
-  auto Done = std::make_shared<link::Waiter>(m_Node.io());
+  // Shared: answers may come after the search has ended.
+  const auto Search = std::make_shared<Progress>(m_Node.io());
   for (std::uint32_t Number = 0; Number < m_GroupCount; ++Number) {
-    if (Number == Asked.group())
+    if (Number == Own)
       continue;
-    ++Found->m_Open;
+    ++Search->m_Open;
     asio::co_spawn(
         m_Node.io(),
         [](HistoryNode &Self, std::uint32_t Group,
-           messages::fleet::FindTurn What, std::shared_ptr<Outcome> Result,
-           std::shared_ptr<link::Waiter> End) -> asio::awaitable<void> {
+           messages::fleet::FindTurn What,
+           std::shared_ptr<Progress> All) -> asio::awaitable<void> {
           const auto Answer = co_await Self.askGroup(Group, std::move(What));
-          --Result->m_Open;
+          --All->m_Open;
           if (Answer && Answer->kind() == messages::fleet::REPLY_OK)
-            Result->m_Text = Answer->text();
+            All->m_Found.m_Text = Answer->text();
           else if (!Answer ||
                    Answer->kind() != messages::fleet::REPLY_NO_SUCH_TURN)
-            Result->m_Unsure = true;
-          if (Result->m_Text || Result->m_Open == 0)
-            End->fire();
-        }(*this, Number, Wanted, Found, Done),
+            All->m_Found.m_Unsure = true;
+          if (All->m_Found.m_Text || All->m_Open == 0)
+            All->m_End.fire();
+        }(*this, Number, Wanted, Search),
         asio::detached);
   }
-  if (Found->m_Open > 0)
-    co_await Done->wait(2 * FindLimit);
-  Asked = m_Searched.at(Turn);
-  m_Searched.erase(Turn);
-  const bool Known = Found->m_Text.has_value();
-  m_Node.log().write("earlier_turn_searched",
-                     {{"request", Turn},
-                      {"previous", Wanted.turn()},
-                      {"found", Known ? "yes" : "no"},
-                      {"unsure", Found->m_Unsure ? "yes" : "no"}});
-  if (!leads(Asked.group())) {
-    replyKind(From, Asked.id(), messages::fleet::REPLY_NOT_LEADER);
-    co_return;
-  }
-  if (!Known && (Found->m_Unsure || Found->m_Open > 0)) {
-    replyKind(From, Asked.id(), messages::fleet::REPLY_UNAVAILABLE);
-    co_return;
-  }
-  if (Known) {
-    messages::fleet::HistoryCommand Command;
-    auto &Adopted = *Command.mutable_adopt();
-    Adopted.set_turn(Wanted.turn());
-    Adopted.set_organisation(Wanted.organisation());
-    Adopted.set_text(*Found->m_Text);
-    Adopted.set_retention_ms(Asked.begin().retention_ms());
-    m_Groups->propose(Asked.group(), Command.SerializeAsString());
-    askForPlace(From, Asked);
-    co_return;
-  }
-  // The group's own log says so, once all earlier commands are applied.
-  propose(From, Asked, {});
+  if (Search->m_Open > 0)
+    co_await Search->m_End.wait(2 * FindLimit);
+  FoundTurn Found = Search->m_Found;
+  Found.m_Unsure = Found.m_Unsure || Search->m_Open > 0;
+  co_return Found;
 }
 
 asio::awaitable<std::optional<HistoryNode::Reply>>
--- a/src/history/HistoryNode.h
+++ b/src/history/HistoryNode.h
@@ -66,6 +66,12 @@
     std::map<std::uint64_t, link::Waiter *> m_ReadWaiters;
   };
 
+  /// What a search for a turn of another group has found.
+  struct FoundTurn {
+    std::optional<std::string> m_Text; ///< Of the turn's whole chain.
+    bool m_Unsure = false;             ///< Not all groups have answered.
+  };
+
   // Groups.
   consensus::StateMachine &makeState(std::uint32_t Number);
   void onProgress(std::uint32_t Number);
@@ -96,16 +102,19 @@
   /// places lie below.
   static constexpr std::uint64_t ForeignIds = std::uint64_t{1} << 62U;
 
-  // Turns of other groups, in ForeignTurns.cpp.
+  // Turns of other groups, in HistoryForeignTurns.cpp.
   boost::asio::awaitable<void> beginFromElsewhere(std::string From,
                                                   Request Asked);
+  boost::asio::awaitable<FoundTurn>
+  searchOtherGroups(std::uint32_t Own, messages::fleet::FindTurn Wanted);
+  void adopt(const Request &Asked, const std::string &Text);
   boost::asio::awaitable<void> answerFind(std::string From, Request Asked);
   boost::asio::awaitable<Reply> findTurn(std::uint32_t Number,
                                          messages::fleet::FindTurn Wanted);
   boost::asio::awaitable<std::optional<Reply>>
   askGroup(std::uint32_t Number, messages::fleet::FindTurn Wanted);
 
-  // Places on engines, in Places.cpp.
+  // Places on engines, in HistoryPlaces.cpp.
   void askForPlace(const std::string &From, const Request &Asked);
   void sendPlaceRequest(std::uint64_t Id);
   void onPlaceRequest(const std::string &From, const Request &Asked);
