A member without its entries names the end of its log

Cause: a member that got a leader's state and not yet the entries that the state refers to has a commit ahead of its log. Asked by another leader to go on elsewhere it named that commit as the place to begin from, refused that as well, and so on, entry by entry, with a batch of 128 KB each time, without an end.

--- a/src/consensus/GroupReplication.cpp
+++ b/src/consensus/GroupReplication.cpp
@@ -149,9 +149,11 @@
     auto &Reply = *send(Received.from()).mutable_append_reply();
     Reply.set_accepted(false);
     Reply.set_round(Append.round());
-    // What lies beyond its commits may differ from the leader's entries. A
-    // later index would be refused again, entry by entry.
-    Reply.set_match(std::min(m_Commit, Append.previous_index() - 1));
+    // What lies beyond its commits may differ from the leader's entries, and a
+    // state that came by itself is ahead of its log. A later index would be
+    // refused again, entry by entry.
+    Reply.set_match(
+        std::min({m_Commit, m_Log.lastIndex(), Append.previous_index() - 1}));
     return;
   }
   std::uint64_t Match = Append.previous_index();
