One way to write a group's term and vote, and an unused query less

Reading of the whole change: four places of GroupLog wrote term and vote with the same three lines; they call makeTermRecord() now. Group::holds() had no caller.

--- a/src/consensus/Group.h
+++ b/src/consensus/Group.h
@@ -155,10 +155,6 @@
   std::string commandAt(std::uint64_t Index) const {
     return m_Log.read(Index).command();
   }
-  /// Whether the entry at \p Index is still kept here.
-  bool holds(std::uint64_t Index) const {
-    return Index >= m_Log.firstIndex() && Index <= m_Log.lastIndex();
-  }
   /// Sequence of the oldest journal record that is needed, and the one that a
   /// snapshot taken now would need.
   std::uint64_t oldestNeeded() const { return m_Log.oldestNeeded(); }
--- a/src/consensus/GroupLog.cpp
+++ b/src/consensus/GroupLog.cpp
@@ -67,14 +67,18 @@
   return Content;
 }
 
+GroupLog::Record GroupLog::makeTermRecord() const {
+  Record Content = makeRecord();
+  Content.set_has_term(true);
+  Content.set_term(m_Term);
+  Content.set_vote(m_Vote);
+  return Content;
+}
+
 void GroupLog::setTerm(std::uint64_t Term, const std::string &Vote) {
   m_Term = Term;
   m_Vote = Vote;
-  Record Content = makeRecord();
-  Content.set_has_term(true);
-  Content.set_term(Term);
-  Content.set_vote(Vote);
-  write(Content);
+  write(makeTermRecord());
 }
 
 void GroupLog::append(Entry Next) {
@@ -86,11 +90,8 @@
 }
 
 void GroupLog::install(const Snapshot &Content) {
-  Record Written = makeRecord();
+  Record Written = makeTermRecord();
   Written.set_installed(true);
-  Written.set_has_term(true);
-  Written.set_term(m_Term);
-  Written.set_vote(m_Vote);
   *Written.mutable_snapshot() = Content;
   const std::uint64_t Sequence = write(Written);
   clear(Content);
@@ -98,10 +99,7 @@
 }
 
 void GroupLog::checkpoint(const Snapshot &Content) {
-  Record Written = makeRecord();
-  Written.set_has_term(true);
-  Written.set_term(m_Term);
-  Written.set_vote(m_Vote);
+  Record Written = makeTermRecord();
   Written.set_commit(m_KnownCommit);
   *Written.mutable_snapshot() = Content;
   const std::uint64_t Sequence = write(Written);
@@ -111,11 +109,8 @@
 }
 
 void GroupLog::leave() {
-  Record Written = makeRecord();
+  Record Written = makeTermRecord();
   Written.set_left(true);
-  Written.set_has_term(true);
-  Written.set_term(m_Term);
-  Written.set_vote(m_Vote);
   const std::uint64_t Sequence = write(Written);
   clear({});
   m_KnownCommit = 0;
--- a/src/consensus/GroupLog.h
+++ b/src/consensus/GroupLog.h
@@ -105,6 +105,8 @@
   void restoreSnapshot(std::uint64_t Sequence, bool Installed,
                        Snapshot &Content);
   Record makeRecord() const;
+  /// With the term and vote, so that no earlier record is needed for them.
+  Record makeTermRecord() const;
   std::uint64_t write(const Record &Content);
   void take(std::uint64_t Sequence, Entry Next);
   void truncate(std::uint64_t From);
