--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -182,6 +182,14 @@
             Received.tokens().new_program(), base::readMonotonic()));
     if (Result.count() > 0)
       Result.set_kind(messages::fleet::REPLY_OK);
+    else
+      m_Node.log().write(
+          "tokens_refused",
+          {{"organisation", Received.tokens().organisation()},
+           {"new_program", Received.tokens().new_program() ? "yes" : "no"},
+           {"wanted", Received.tokens().count()},
+           {"left", m_TokenAllocator.left(Received.tokens().organisation())},
+           {"configuration", m_Configuration.m_Version}});
     co_return Result;
   }
   link::Waiter Waiting(m_Node.io());
--- a/src/coordinator/TokenAllocator.cpp
+++ b/src/coordinator/TokenAllocator.cpp
@@ -38,6 +38,13 @@
   return Allocated;
 }
 
+std::uint64_t TokenAllocator::left(const std::string &Organisation) const {
+  const auto It = m_Buckets.find(Organisation);
+  return It == m_Buckets.end()
+             ? 0
+             : static_cast<std::uint64_t>(It->second.m_Tokens);
+}
+
 void TokenAllocator::reset(base::TimePoint Now) {
   m_Buckets.clear();
   m_LeaderSince = Now;
--- a/src/coordinator/TokenAllocator.h
+++ b/src/coordinator/TokenAllocator.h
@@ -32,6 +32,8 @@
   std::uint32_t allocate(const fleet::OrganisationSpec &Requester,
                          std::uint32_t Wanted, bool NewProgram,
                          base::TimePoint Now);
+  /// Whole tokens of \p Organisation after its last call of allocate().
+  std::uint64_t left(const std::string &Organisation) const;
   /// Empties all buckets, when this node has become the leader.
   void reset(base::TimePoint Now);
 
--- a/src/fleet/ServingConfiguration.h
+++ b/src/fleet/ServingConfiguration.h
@@ -69,12 +69,18 @@
 struct OrganisationSpec {
   std::string m_Name;
   std::vector<std::string> m_Keys;
+  /// Replaces the priority of the routes for this organisation's calls.
   std::optional<std::uint32_t> m_Priority;
   double m_RatePerSecond = 0; ///< Zero: no limit.
   double m_Burst = 0;
 
   bool operator==(const OrganisationSpec &) const = default;
 
+  /// Priority of a call of this organisation on \p Called; zero is the highest.
+  std::uint32_t priorityOn(const Route &Called) const {
+    return m_Priority.value_or(Called.m_Priority);
+  }
+
   /// Fraction of the rate that is divided over the entry instances; the rest is
   /// one token bucket at the control leader. Low rates are not divided, since
   /// callers that are spread unevenly would leave tokens unused at instances
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -133,17 +133,17 @@
 
 asio::awaitable<bool> Call::takeRateToken() {
   RateShares &Rates = m_Gateway.rates();
-  const bool NewProgram = m_Metadata.m_TokenBudget &&
-                          m_Metadata.m_PreviousTurn.empty() &&
-                          !m_Gateway.programs().contains(m_Metadata.m_Program);
-  if (Rates.take(*m_Organisation, NewProgram, base::readMonotonic()) ==
+  m_BeginsProgram = m_Metadata.m_TokenBudget &&
+                    m_Metadata.m_PreviousTurn.empty() &&
+                    !m_Gateway.programs().contains(m_Metadata.m_Program);
+  if (Rates.take(*m_Organisation, m_BeginsProgram, base::readMonotonic()) ==
       RateDecision::Pass)
     co_return true;
   messages::fleet::Request LeaderRequest;
   LeaderRequest.mutable_tokens()->set_organisation(m_Organisation->m_Name);
-  LeaderRequest.mutable_tokens()->set_new_program(NewProgram);
+  LeaderRequest.mutable_tokens()->set_new_program(m_BeginsProgram);
   LeaderRequest.mutable_tokens()->set_count(
-      NewProgram ? 1 : Rates.tokensToRequest(*m_Organisation));
+      m_BeginsProgram ? 1 : Rates.tokensToRequest(*m_Organisation));
   const auto LeaderReply = co_await m_Gateway.requestFromLeader(
       messages::fleet::NODE_CONTROL, LeaderRequest,
       std::min(RateRequestTimeout, timeLeft()));
@@ -249,7 +249,10 @@
        {"kind", base::errorAnswer(Reason.m_Kind).m_Name},
        {"reason", Reason.m_Detail},
        {"route", m_Route ? m_Route->m_Name : ""},
+       {"priority", priority()},
        {"organisation", organisationName()},
+       {"program", m_Metadata.m_Program},
+       {"begins_program", m_BeginsProgram ? "yes" : "no"},
        {"configuration",
         m_RouteTable ? m_RouteTable->configuration().m_Version : 0},
        {"previous_turn", m_Metadata.m_PreviousTurn},
@@ -356,6 +359,13 @@
   return m_Organisation ? m_Organisation->m_Name : std::string();
 }
 
+std::uint32_t Call::priority() const {
+  if (!m_Route)
+    return 0;
+  return m_Organisation ? m_Organisation->priorityOn(*m_Route)
+                        : m_Route->m_Priority;
+}
+
 base::Duration Call::timeLeft() const {
   return std::max(base::Duration(0), std::chrono::duration_cast<base::Duration>(
                                          m_Deadline - base::readMonotonic()));
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -102,6 +102,8 @@
   base::Duration timeLeft() const;
   /// Empty on public routes.
   std::string organisationName() const;
+  /// Zero is the highest.
+  std::uint32_t priority() const;
 
   Gateway &m_Gateway;
   boost::asio::ip::tcp::socket &m_CallerSocket;
@@ -123,6 +125,8 @@
   bool m_ResponseStarted = false; ///< The caller may have bytes of a response.
   std::function<void()> m_Abort;  ///< Aborts the pending operation.
 
+  /// The call begins a program, as far as this instance knows.
+  bool m_BeginsProgram = false;
   bool m_IsTurn = false;
   bool m_TurnOpen = false; ///< Its tokens are reserved, its end not recorded.
   std::string m_EarlierTurns;
--- a/src/history/HistorySlots.cpp
+++ b/src/history/HistorySlots.cpp
@@ -123,6 +123,8 @@
       m_Node.log().write(
           "turn_turned_away",
           {{"request", Begin.turn()},
+           {"program", Begin.program()},
+           {"program_left_ms", Begin.program_left_ms()},
            {"new_program", Response.m_Turn.m_NewProgram ? "yes" : "no"},
            {"running", Load.m_Running},
            {"slots", Load.m_Slots},
