Later turns at other entry instances use the tokens of programs that have begun

What callers saw: near an organisation's rate, turns in the middle of a program were answered 429, over and over, though tokens were left. Cause: a turn counted as the beginning of a program if it named no earlier turn and its entry instance had seen no call of the program. Turns of a route that retains nothing never name one, and come through many instances. Class of fault: a fact about the fleet decided from what one process has seen. Change: RateAdmission decides without I/O. Before such a turn is refused, the program's history group is asked whether the program has begun; if so, the turn counts as a later one. An older history node answers no, as before. Kept since a program that has begun isn't interrupted for one that has not.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Call.h"
 
 #include "gateway/Gateway.h"
+#include "gateway/RateAdmission.h"
 #include "gateway/RetryTime.h"
 #include "metrics/Names.h"
 
@@ -29,7 +30,7 @@
 constexpr base::Duration RateRetryDelay = base::milliseconds(500);
 /// A call with less time left than this can't be served before its deadline.
 constexpr base::Duration MinTimeLeft = base::milliseconds(5);
-/// Timeout of token requests to the control leader.
+/// Timeout of each request that decides whether a call is within the rate.
 constexpr base::Duration RateRequestTimeout = base::milliseconds(250);
 
 } // namespace
@@ -132,28 +133,55 @@
 }
 
 asio::awaitable<bool> Call::takeRateToken() {
-  RateShares &Rates = m_Gateway.rates();
-  m_BeginsProgram = m_Metadata.m_TokenBudget &&
-                    m_Metadata.m_PreviousTurn.empty() &&
-                    !m_Gateway.programs().contains(m_Metadata.m_Program);
-  if (Rates.take(*m_Organisation, m_BeginsProgram, base::readMonotonic()) ==
-      RateDecision::Pass)
-    co_return true;
+  RateAdmission Admission(
+      m_Gateway.rates(), m_Gateway.programs(), *m_Organisation,
+      {.m_Program = m_Metadata.m_Program,
+       .m_NamesNoEarlierTurn = m_Metadata.m_TokenBudget.has_value() &&
+                               m_Metadata.m_PreviousTurn.empty()});
+  RateStep Step = Admission.start(base::readMonotonic());
+  while (Step == RateStep::RequestTokens || Step == RateStep::FindProgram) {
+    if (Step == RateStep::FindProgram) {
+      const bool HasBegun = co_await hasProgramBegun();
+      Step = Admission.onProgram(HasBegun, base::readMonotonic());
+    } else {
+      const auto Count = co_await requestRateTokens(Admission);
+      Step = Admission.onTokens(Count, base::readMonotonic());
+    }
+  }
+  m_BeginsProgram = Admission.beginsProgram();
+  co_return Step == RateStep::Pass;
+}
+
+/// Number of tokens that the control leader granted; empty if none replied.
+asio::awaitable<std::optional<std::uint32_t>>
+Call::requestRateTokens(const RateAdmission &Admission) {
   messages::fleet::Request LeaderRequest;
   LeaderRequest.mutable_tokens()->set_organisation(m_Organisation->m_Name);
-  LeaderRequest.mutable_tokens()->set_new_program(m_BeginsProgram);
-  LeaderRequest.mutable_tokens()->set_count(
-      m_BeginsProgram ? 1 : Rates.tokensToRequest(*m_Organisation));
+  LeaderRequest.mutable_tokens()->set_new_program(Admission.beginsProgram());
+  LeaderRequest.mutable_tokens()->set_count(Admission.tokensToRequest());
   const auto LeaderReply = co_await m_Gateway.requestFromLeader(
       messages::fleet::NODE_CONTROL, LeaderRequest,
       std::min(RateRequestTimeout, timeLeft()));
-  if (!LeaderReply || LeaderReply->count() == 0)
+  if (!LeaderReply)
+    co_return std::nullopt;
+  co_return LeaderReply->count();
+}
+
+/// Whether the program's history group knows a turn of it. No reply counts as
+/// no.
+asio::awaitable<bool> Call::hasProgramBegun() {
+  const auto Group =
+      m_Gateway.groupOf(organisationName(), m_Metadata.m_Program);
+  if (!Group)
     co_return false;
-  // One of the tokens is for this call.
-  if (LeaderReply->count() > 1)
-    Rates.grant(*m_Organisation, LeaderReply->count() - 1,
-                base::readMonotonic());
-  co_return true;
+  messages::fleet::Request LeaderRequest;
+  LeaderRequest.set_group(*Group);
+  LeaderRequest.mutable_find()->set_organisation(organisationName());
+  LeaderRequest.mutable_find()->set_program(m_Metadata.m_Program);
+  const auto LeaderReply = co_await m_Gateway.requestFromLeader(
+      messages::fleet::NODE_HISTORY, LeaderRequest,
+      std::min(RateRequestTimeout, timeLeft()));
+  co_return LeaderReply && LeaderReply->kind() == messages::fleet::REPLY_OK;
 }
 
 /// Reserves the turn's tokens and fetches the text of the turns before it.
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -27,6 +27,7 @@
 namespace psp::gateway {
 
 class Gateway;
+class RateAdmission;
 
 /// The outcome of sending a call to one endpoint.
 enum class SendOutcome {
@@ -62,6 +63,9 @@
   boost::asio::awaitable<void> handle();
   std::optional<Refusal> checkRoute();
   boost::asio::awaitable<bool> takeRateToken();
+  boost::asio::awaitable<std::optional<std::uint32_t>>
+  requestRateTokens(const RateAdmission &Admission);
+  boost::asio::awaitable<bool> hasProgramBegun();
   boost::asio::awaitable<std::optional<Refusal>> beginTurn();
   boost::asio::awaitable<void> refuse(Refusal Reason);
 
--- a/src/history/HistoryTurnSearch.cpp
+++ b/src/history/HistoryTurnSearch.cpp
@@ -127,12 +127,22 @@
   reply(From, Received.id(), std::move(Outgoing));
 }
 
-/// Finds a turn in a group that this node leads. The reply that the group has
-/// no such turn requires a confirmed read, with a round trip to its members.
+/// Finds a turn or a program in a group that this node leads. The reply that
+/// the group has no such turn requires a confirmed read, with a round trip to
+/// its members.
 asio::awaitable<HistoryNode::Reply>
 HistoryNode::findTurn(std::uint32_t Number, messages::fleet::FindTurn Wanted) {
   HostedGroup &Group = *m_Hosted.at(Number);
   Reply Result;
+  // A leader that hasn't applied the program's first turn yet replies that the
+  // program has not begun, which only delays the requester's call.
+  if (Wanted.turn().empty()) {
+    Result.set_kind(Group.m_State.ledger().hasProgram(Wanted.organisation(),
+                                                      Wanted.program())
+                        ? messages::fleet::REPLY_OK
+                        : messages::fleet::REPLY_NO_SUCH_TURN);
+    co_return Result;
+  }
   Result.set_kind(messages::fleet::REPLY_UNAVAILABLE);
   auto Text = Group.m_State.chainText(Wanted.organisation(), Wanted.turn());
   if (!Text) {
