Placement charges the length of the prompt that an engine would read again

Cause: an engine that doesn't hold a program's earlier turns was charged a flat 25 ms, that of two thousand tokens, and nothing for the turns that wait there meanwhile. A program of eleven turns reads up to five thousand. Long programs with short pauses have the least time to spare. Class of fault: a cost that is sized by a short program. Change: the call's token count goes with the request for a slot. Reading it again is charged with its length, and with half of that for each turn running on the engine.

--- a/src/gateway/CallProtocol.h
+++ b/src/gateway/CallProtocol.h
@@ -37,8 +37,9 @@
   /// Tokens that all turns of the program may generate. Absent if the call is
   /// not a turn.
   std::optional<std::uint64_t> m_TokenBudget;
-  std::uint64_t m_MaxTokens = 0; ///< Limit of this turn; zero: none.
-  std::string m_LastEventId;     ///< Event after which to resume a stream.
+  std::uint64_t m_PromptTokens = 0; ///< Earlier turns included; zero: unknown.
+  std::uint64_t m_MaxTokens = 0;    ///< Limit of this turn; zero: none.
+  std::string m_LastEventId;        ///< Event after which to resume a stream.
 };
 
 /// Metadata that is added to the caller's request when it goes to an endpoint.
--- a/src/history/HistorySlots.cpp
+++ b/src/history/HistorySlots.cpp
@@ -67,6 +67,8 @@
   Outgoing.mutable_place()->set_new_program(Pending->m_NewProgram);
   *Outgoing.mutable_place()->mutable_connected() =
       Pending->m_Request.connected();
+  Outgoing.mutable_place()->set_prompt_tokens(
+      Pending->m_Request.prompt_tokens());
   const std::uint32_t Number =
       dispatchingGroup(Pending->m_Request.begin().service(), m_GroupCount);
   if (isLeaderOf(Number)) {
@@ -95,6 +97,7 @@
   Turn.m_Request.set_id(Received.id());
   *Turn.m_Request.mutable_begin() = Begin;
   *Turn.m_Request.mutable_connected() = Received.place().connected();
+  Turn.m_Request.set_prompt_tokens(Received.place().prompt_tokens());
   SlotAllocator &Allocator = slotAllocator(Begin.service());
   Allocator.requestSlot(Turn, base::readMonotonic());
   sendSlotResponses(Allocator);
--- a/src/turns/EnginePlacement.cpp
+++ b/src/turns/EnginePlacement.cpp
@@ -51,7 +51,7 @@
     const bool IsPreferred = Preferred != m_Preferences.end() &&
                              Preferred->second.m_Endpoint == Candidate->id();
     if (Preferred != m_Preferences.end() && !IsPreferred)
-      Cost += m_Options.m_HistoryPrefillMs;
+      Cost += prefillCost(BeginRequest, *Candidate);
     if (!IsPreferred && !PrefixEngines.contains(Candidate->id()))
       Cost += m_Options.m_PrefixPrefillMs;
     if (!Connected.contains(Candidate->id()))
@@ -110,6 +110,15 @@
   return Total;
 }
 
+double
+EnginePlacement::prefillCost(const messages::fleet::Request &Begin,
+                             const fleet::EndpointState &Candidate) const {
+  const double Ms = Begin.prompt_tokens() > 0
+                        ? Begin.prompt_tokens() / m_Options.m_PrefillTokensPerMs
+                        : m_Options.m_HistoryPrefillMs;
+  return Ms * (1 + m_Options.m_PrefillDelayShare * runningOn(Candidate.id()));
+}
+
 double EnginePlacement::decayFactor(base::TimePoint Since,
                                     base::TimePoint Now) const {
   const double AgeSeconds = std::chrono::duration<double>(Now - Since).count();
--- a/src/turns/EnginePlacement.h
+++ b/src/turns/EnginePlacement.h
@@ -24,9 +24,13 @@
   /// the engine prefills a prompt in chunks, interleaved with the token
   /// generation of other turns.
   double m_MsPerRunningTurn = 6;
-  /// Cost of prefilling the earlier turns of a program again, in milliseconds:
-  /// a chain of two thousand tokens.
+  /// Cost of prefilling the earlier turns of a program again, in milliseconds,
+  /// if the length of the prompt is unknown: a chain of two thousand tokens.
   double m_HistoryPrefillMs = 25;
+  /// Speed at which an engine prefills a prompt, in tokens per millisecond.
+  double m_PrefillTokensPerMs = 80;
+  /// Share of that time by which each turn running on the engine is delayed.
+  double m_PrefillDelayShare = 0.5;
   /// Cost of prefilling a shared prompt prefix, in milliseconds: 512 tokens.
   double m_PrefixPrefillMs = 6;
   /// Number of engines over which programs with the same prompt prefix are
@@ -113,6 +117,10 @@
   std::set<std::string> enginesOfPrefix(
       const std::string &Prefix,
       const std::vector<const fleet::EndpointState *> &Usable) const;
+  /// Cost of prefilling the prompt of \p Begin on \p Candidate, with the delay
+  /// of the turns that run there.
+  double prefillCost(const messages::fleet::Request &Begin,
+                     const fleet::EndpointState &Candidate) const;
   double decayFactor(base::TimePoint Since, base::TimePoint Now) const;
   double medianEventGapUs() const;
 
