Long programs leave an engine that fails or can't be reached

The charge for reading a prompt again grows with its length, and the callers' header sets that length, so a program of 160 thousand tokens would have stayed on an engine that is out of reach (charged 2,000 ms) or fails (500 ms). Change: the charge is at most 400 ms, below that of a failed turn. Evidence: two tests of LongPromptPlacementTest.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -210,8 +210,7 @@
     Begin.set_program_left_ms(static_cast<std::uint32_t>(
         base::wholeMilliseconds(*m_Metadata.m_ProgramTimeLeft)));
   }
-  LeaderRequest.set_prompt_tokens(
-      static_cast<std::uint32_t>(m_Metadata.m_PromptTokens));
+  LeaderRequest.set_prompt_tokens(m_Metadata.m_PromptTokens);
   m_Gateway.endpoints().forEachUsable(
       m_Service, [&](const fleet::EndpointState &Endpoint) {
         if (m_Gateway.pool().hasIdle(Endpoint.address()))
--- a/src/turns/EnginePlacement.cpp
+++ b/src/turns/EnginePlacement.cpp
@@ -114,9 +114,12 @@
 EnginePlacement::prefillCost(const messages::fleet::Request &Begin,
                              const fleet::EndpointState &Candidate) const {
   const double Ms = Begin.prompt_tokens() > 0
-                        ? Begin.prompt_tokens() / m_Options.m_PrefillTokensPerMs
+                        ? static_cast<double>(Begin.prompt_tokens()) /
+                              m_Options.m_PrefillTokensPerMs
                         : m_Options.m_HistoryPrefillMs;
-  return Ms * (1 + m_Options.m_PrefillDelayShare * runningOn(Candidate.id()));
+  return std::min(
+      m_Options.m_MaxPrefillMs,
+      Ms * (1 + m_Options.m_PrefillDelayShare * runningOn(Candidate.id())));
 }
 
 double EnginePlacement::decayFactor(base::TimePoint Since,
--- a/src/turns/EnginePlacement.h
+++ b/src/turns/EnginePlacement.h
@@ -31,6 +31,9 @@
   double m_PrefillTokensPerMs = 80;
   /// Share of that time by which each turn running on the engine is delayed.
   double m_PrefillDelayShare = 0.5;
+  /// Maximum cost of prefilling a prompt, in milliseconds. Below m_FailureMs,
+  /// so that long programs leave an engine that fails or can't be reached.
+  double m_MaxPrefillMs = 400;
   /// Cost of prefilling a shared prompt prefix, in milliseconds: 512 tokens.
   double m_PrefixPrefillMs = 6;
   /// Number of engines over which programs with the same prompt prefix are
--- a/tests/correctness/LongPromptPlacementTest.cpp
+++ b/tests/correctness/LongPromptPlacementTest.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::uint32_t LongPromptTokens = 4000;
 constexpr std::uint32_t ShortPromptTokens = 100;
+constexpr std::uint32_t LongestPromptTokens = 400'000;
 
 class LongPromptPlacementTest : public testing::Test {
 protected:
@@ -72,5 +73,20 @@
   EXPECT_FALSE(staysWhenItsEngineIsFull(ShortPromptTokens));
 }
 
+TEST_F(LongPromptPlacementTest, TheLongestPromptsLeaveAnEngineOutOfReach) {
+  const std::string First = place("p", LongestPromptTokens);
+  m_Placement.finish(std::to_string(m_Turns), {}, m_Now);
+  m_Placement.avoid(First, m_Now);
+  EXPECT_NE(place("p", LongestPromptTokens), First);
+}
+
+TEST_F(LongPromptPlacementTest, TheLongestPromptsLeaveAnEngineThatFails) {
+  const std::string First = place("p", LongestPromptTokens);
+  for (int Turn = 0; Turn < 40; ++Turn)
+    m_Placement.finish(std::to_string(m_Turns),
+                       {.m_Endpoint = First, .m_Failed = true}, m_Now);
+  EXPECT_NE(place("p", LongestPromptTokens), First);
+}
+
 } // namespace
 } // namespace psp::turns
