A call survives the silence of an engine that is still reachable

Callers saw a turn end without an answer: 502 before the first event, or a stream that broke off, when an engine sent nothing for a second and then went on. Operators report that sound engines do so.

Cause: InactivityMonitor took a second without bytes as proof that the engine is unreachable, and the call was aborted. Silence can't tell an engine that pauses from one behind a partition.

Change: silence only starts a probe. A new connection that opens (and then serves the next call from the pool) shows that the engine pauses, and the call goes on waiting; without one the engine is abandoned as before. Probes of an address that overlap share one connection. New calls avoid a silent engine as before. Connections to endpoints use the kernel's keep-alive, so that one that is lost while new ones work is detected after 2 s without ending calls on a paused engine, whose kernel still acknowledges.

Evidence: tests/process/silent_endpoint.py, an engine that pauses for 1.6 s.

--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -89,6 +89,7 @@
   /// Schedules checks that abort the wait for \p Endpoint when it becomes
   /// unreachable.
   void scheduleInactivityCheck(const std::string &Endpoint);
+  boost::asio::awaitable<void> probeSilentEndpoint(std::string Endpoint);
   void stopInactivityChecks();
 
   // Turns.
@@ -139,6 +140,7 @@
   std::uint32_t m_EventGapUs = 0;
   std::string m_Output;
   std::string m_CurrentEndpoint;
+  std::string m_CurrentAddress; ///< Of m_CurrentEndpoint.
   std::vector<std::string> m_UnreachableEndpoints;
   bool m_WritingToCaller = false; ///< Blocked until the caller reads.
   std::optional<InactivityMonitor> m_InactivityMonitor;
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -4,6 +4,8 @@
 #include "gateway/RetryTime.h"
 #include "metrics/Names.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -95,6 +97,7 @@
     Placement.onSent(Id);
     const TimePoint Start = base::readMonotonic();
     m_CurrentEndpoint = Id;
+    m_CurrentAddress = Endpoint.address();
     const SendOutcome Outcome = co_await sendTo(Endpoint);
     const bool Success = Outcome == SendOutcome::Answered;
     Placement.onDone(
@@ -287,19 +290,40 @@
       Self->scheduleInactivityCheck(Endpoint);
       return;
     }
-    Self->m_Gateway.node().log().write(
-        "endpoint_silent",
-        {{"request", Self->m_Metadata.m_Id},
-         {"endpoint", Endpoint},
-         {"heard_us_ago",
-          static_cast<std::uint64_t>(
-              (base::readMonotonic() - LastReceivedAt).count())}});
     Placement.onUnreachable(Endpoint, base::readMonotonic());
-    Self->m_UnreachableEndpoints.push_back(Endpoint);
-    Self->abort();
+    asio::co_spawn(Self->m_Gateway.io(), Self->probeSilentEndpoint(Endpoint),
+                   asio::detached);
   });
 }
 
+/// Abandons \p Endpoint if it accepts no connection. One that does may only
+/// have paused, so the call goes on waiting for it.
+asio::awaitable<void> Call::probeSilentEndpoint(std::string Endpoint) {
+  const auto Self = shared_from_this();
+  const base::TimePoint LastReceivedAt =
+      m_Gateway.placement().lastReceivedAt(Endpoint);
+  const bool Reachable = co_await m_Gateway.isReachable(m_CurrentAddress);
+  // The call may have ended or received bytes during the probe.
+  if (m_Finished || !m_InactivityMonitor || m_CurrentEndpoint != Endpoint)
+    co_return;
+  m_Gateway.node().log().write(
+      "endpoint_silent",
+      {{"request", m_Metadata.m_Id},
+       {"endpoint", Endpoint},
+       {"reachable", Reachable ? "yes" : "no"},
+       {"heard_us_ago",
+        static_cast<std::uint64_t>(
+            (base::readMonotonic() - LastReceivedAt).count())}});
+  if (Reachable ||
+      m_Gateway.placement().lastReceivedAt(Endpoint) != LastReceivedAt) {
+    m_InactivityMonitor->restart(base::readMonotonic());
+    scheduleInactivityCheck(Endpoint);
+    co_return;
+  }
+  m_UnreachableEndpoints.push_back(Endpoint);
+  abort();
+}
+
 void Call::stopInactivityChecks() {
   m_InactivityMonitor.reset();
   m_InactivityTimer.cancel();
--- a/src/gateway/EndpointChannel.cpp
+++ b/src/gateway/EndpointChannel.cpp
@@ -27,6 +27,12 @@
 /// for some retransmissions. The kernel of a slow endpoint still acknowledges
 /// at once.
 constexpr int UserTimeoutMs = 1000;
+/// Times of the kernel's keep-alive probes, in seconds, and their number. They
+/// detect a connection that is lost while nothing is being sent. The kernel of
+/// an endpoint that pauses still answers them.
+constexpr int KeepAliveIdleS = 1;
+constexpr int KeepAliveIntervalS = 1;
+constexpr int KeepAliveCount = 2;
 
 std::optional<tcp::endpoint> parseAddress(const std::string &Address) {
   const std::size_t Colon = Address.rfind(':');
@@ -61,10 +67,16 @@
     co_return false;
   boost::system::error_code Ignored; // The connection works without them.
   m_Socket.set_option(tcp::no_delay(true), Ignored);
-  m_Socket.set_option(
-      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(
-          UserTimeoutMs),
-      Ignored);
+  m_Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
+  const auto SetTcpOption = [&]<int Name>(int Value) {
+    m_Socket.set_option(
+        asio::detail::socket_option::integer<IPPROTO_TCP, Name>(Value),
+        Ignored);
+  };
+  SetTcpOption.operator()<TCP_USER_TIMEOUT>(UserTimeoutMs);
+  SetTcpOption.operator()<TCP_KEEPIDLE>(KeepAliveIdleS);
+  SetTcpOption.operator()<TCP_KEEPINTVL>(KeepAliveIntervalS);
+  SetTcpOption.operator()<TCP_KEEPCNT>(KeepAliveCount);
   co_return true;
 }
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/EndpointChannel.h"
 #include "gateway/LeaderSearch.h"
 #include "gateway/RateShares.h"
+#include "gateway/ReachabilityProbe.h"
 #include "gateway/RecentPrograms.h"
 #include "gateway/ServicePlacement.h"
 #include "link/RequestTable.h"
@@ -111,6 +112,10 @@
   void onEndpointLeaving(const std::string &Id, std::uint64_t StartTime);
   ServicePlacement &placement() { return m_Placement; }
   EndpointPool &pool() { return m_Pool; }
+  /// Whether the endpoint at \p Address accepts a connection now.
+  boost::asio::awaitable<bool> isReachable(const std::string &Address) {
+    return m_Probe.check(Address);
+  }
   RateShares &rates() { return m_Rates; }
   RecentPrograms &programs() { return m_Programs; }
   /// Whether the balancer should route callers to this instance.
@@ -163,6 +168,7 @@
   std::shared_ptr<const fleet::RouteTable> m_RouteTable;
   fleet::EndpointDirectory m_Endpoints;
   EndpointPool m_Pool;
+  ReachabilityProbe m_Probe;
   ServicePlacement m_Placement;
   RateShares m_Rates;
   RecentPrograms m_Programs;
--- a/src/gateway/InactivityMonitor.h
+++ b/src/gateway/InactivityMonitor.h
@@ -1,5 +1,6 @@
 /// \file
-/// Decides when an engine that should be responding counts as unreachable.
+/// Decides when the silence of an engine that should be responding calls for a
+/// probe.
 
 #ifndef PSP_GATEWAY_INACTIVITYMONITOR_H
 #define PSP_GATEWAY_INACTIVITYMONITOR_H
@@ -9,9 +10,9 @@
 namespace psp::gateway {
 
 struct InactivityMonitorOptions {
-  /// Engines send something at least this often while they execute anything. It
-  /// is five times the longest pause that callers of a stream accept, so that a
-  /// slow engine does not count as unreachable.
+  /// Engines send something at least this often while they execute anything,
+  /// unless they pause. It is five times the longest pause that callers of a
+  /// stream accept.
   base::Duration m_InactivityTimeout = base::milliseconds(1000);
   /// Time between two checks.
   base::Duration m_CheckInterval = base::milliseconds(200);
@@ -23,8 +24,10 @@
 /// Detects engines that have stopped sending. Load pattern: a data centre is
 /// cut off while streams from its engines are active. No error reports it, and
 /// callers would wait for seconds before they start the turn again elsewhere.
-/// One idle call may just be queued at the engine, so the engine counts as
-/// unreachable only if all calls from this instance to it are idle.
+/// A sound engine may pause for as long, so silence alone ends no call: whoever
+/// asks has to probe the engine. One idle call may just be queued at the
+/// engine, so the engine counts as silent only if all calls from this instance
+/// to it are idle.
 class InactivityMonitor {
 public:
   explicit InactivityMonitor(base::TimePoint Now,
@@ -33,7 +36,7 @@
         m_NextCheckAt(Now + m_Options.m_CheckInterval) {}
 
   base::TimePoint nextCheckAt() const { return m_NextCheckAt; }
-  /// Whether the engine is unreachable. \p LastReceivedAt: when this instance
+  /// Whether the engine should be probed. \p LastReceivedAt: when this instance
   /// last received bytes from it, on any connection.
   bool check(base::TimePoint LastReceivedAt, base::TimePoint Now);
   /// Restarts the inactivity timeout, when nothing was read until \p Now for a
--- /dev/null
+++ b/src/gateway/ReachabilityProbe.cpp
@@ -0,0 +1,25 @@
+#include "gateway/ReachabilityProbe.h"
+
+#include <memory>
+#include <utility>
+
+namespace psp::gateway {
+
+boost::asio::awaitable<bool> ReachabilityProbe::check(std::string Address) {
+  if (const auto It = m_Pending.find(Address); It != m_Pending.end()) {
+    const auto Result = std::make_shared<link::Waiter>(m_Io);
+    It->second.push_back(Result);
+    co_return co_await Result->wait(2 * m_Timeout);
+  }
+  m_Pending.try_emplace(Address);
+  auto Channel = std::make_unique<EndpointChannel>(m_Io, Address);
+  const bool Reachable = co_await Channel->connect(m_Timeout);
+  if (Reachable)
+    m_Pool.release(std::move(Channel), std::nullopt);
+  const auto Entry = m_Pending.extract(Address);
+  for (const auto &Waiting : Entry.mapped())
+    Waiting->fire(Reachable);
+  co_return Reachable;
+}
+
+} // namespace psp::gateway
--- a/tests/process/dribble.py
+++ b/tests/process/dribble.py
@@ -16,7 +16,7 @@
 
 ROUTE_TIMEOUT_S = 3.0  # Of the route in leaving.py.
 SLACK_S = 0.5
-PAUSE_S = 0.5  # Longer than callers like, and below the second after which a silent engine is given up.
+PAUSE_S = 0.5  # Longer than callers like, and below the second after which a silent engine is probed.
 EVENTS = 5
 
 
@@ -65,13 +65,15 @@
 
 
 class StreamTest(leaving.Test):
+    ENGINE = Engine
+
     def __init__(self, data):
         super().__init__(data)
         self.endpoints = {}
 
     async def stream(self, manner):
         """The answer, and how long it took."""
-        engine = Engine(self.fleet, manner)
+        engine = self.ENGINE(self.fleet, manner)
         self.endpoints = {"stream": [engine]}
         await engine.start()
         await asyncio.sleep(leaving.SPREAD_S)
--- /dev/null
+++ b/tests/process/silent_endpoint.py
@@ -0,0 +1,77 @@
+"""Engines that fall silent in the middle of a turn, through the whole path.
+
+    python3 tests/process/silent_endpoint.py
+
+Real processes on loopback. An engine that pauses, before its answer or inside its
+stream, still completes the turn. The turn of an engine that is silent and accepts no
+connection ends long before the route's time-out.
+"""
+
+import asyncio
+import sys
+
+import dribble
+import leaving
+
+PAUSE_S = 1.6  # A sound engine may pause for "a second or so".
+GIVEN_UP_S = 2.0  # A second of silence, the next check, and a connection attempt.
+FIRST, REST = b"id: 1\ndata: x\n\n", b"id: 2\ndata: y\n\n"
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+class Engine(dribble.Engine):
+    def __init__(self, fleet, manner):
+        super().__init__(fleet, manner)
+        self.writers = []
+
+    async def _serve(self, reader, writer):
+        self.writers.append(writer)
+        await super()._serve(reader, writer)
+
+    def stop(self):
+        """Also ends the connections that the instance keeps open."""
+        super().stop()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def pause_before_answer(self, start, writer):
+        await asyncio.sleep(PAUSE_S)
+        await self._send(writer, (start + "\r\n").encode() + chunk(FIRST) + chunk(REST) + b"0\r\n\r\n")
+
+    async def pause_in_stream(self, start, writer):
+        await self._send(writer, (start + "\r\n").encode() + chunk(FIRST))
+        await asyncio.sleep(PAUSE_S)
+        await self._send(writer, chunk(REST) + b"0\r\n\r\n")
+
+    async def unreachable(self, start, writer):
+        await self._send(writer, (start + "\r\n").encode() + chunk(FIRST))
+        self.server.close()
+        await asyncio.sleep(2 * dribble.ROUTE_TIMEOUT_S)
+
+
+class SilentEndpointTest(dribble.StreamTest):
+    ENGINE = Engine
+
+    async def check_pause(self, manner):
+        _, answer, took = await self.stream(manner)
+        self.expect(bool(answer) and answer[0] == 200 and answer[3] and answer[2] == FIRST + REST,
+                    f"{manner}: {answer and (answer[0], answer[2], answer[3])} in {took:.2f} s")
+
+    async def check_unreachable(self):
+        _, answer, took = await self.stream("unreachable")
+        self.expect(took < GIVEN_UP_S, f"unreachable: given up after {took:.2f} s")
+        self.expect(not (answer and answer[3]), "unreachable: doesn't look complete")
+
+    async def check(self):
+        for check in (self.check_pause("pause_before_answer"), self.check_pause("pause_in_stream"),
+                      self.check_unreachable()):
+            await check
+            for engine in self.all_endpoints():
+                engine.stop()
+
+
+if __name__ == "__main__":
+    sys.exit(leaving.play(SilentEndpointTest))
