A request that ends several endpoints is held by all instances

Callers of an engine lost their turns again and again: one request ended each engine that ran it, callers and our own retries repeated it through all instances, and every end took up to a dozen sound calls along.

Cause: a poison request. Failures were counted by endpoint only, which led the request to the next endpoint; nothing recognised its repetitions.

These count crashes that follow one another (CrashTracker): endpoints that end together count once, a success clears, and a count is forgotten after ten minutes. At three the control leader proposes a hold, which is committed and told to all entry instances (HeldRequestList, HeldRequestTable). They refuse the request with request-held, 503 "not run" and the time left, before any other work. Holds last 30 s, 10 min, 3 h, 24 h; after each the leader lets one call through, and a complete answer ends the hold. A control node lists held requests and releases them for an operator.

Tried first: crashes in order of their reports only. The second try of one call begins before the first one's report, so six crashes passed until the hold; a report now says that its call was lost before.

--- a/src/base/ErrorKind.h
+++ b/src/base/ErrorKind.h
@@ -20,6 +20,7 @@
   NotFound,
   RateLimited,
   Overloaded,
+  RequestHeld,
   NoEndpoint,
   WrongTurn,
   IdempotencyConflict,
--- a/src/coordinator/ControlProtocol.h
+++ b/src/coordinator/ControlProtocol.h
@@ -35,9 +35,15 @@
   std::string m_Node;
   bool m_Start = false; ///< False: queries the progress.
 };
+struct ListHeldRequestsCall {};
+/// Ends the hold of a request that has ended several endpoints.
+struct ReleaseRequestCall {
+  std::string m_FingerprintHex; ///< As in logs and in the list.
+};
 using ControlCall =
     std::variant<AnnounceCall, LeaveCall, SubmitConfigurationCall,
-                 ReadConfigurationCall, RetireNodeCall>;
+                 ReadConfigurationCall, RetireNodeCall, ListHeldRequestsCall,
+                 ReleaseRequestCall>;
 
 struct SuccessAnswer {};
 /// These answers have constructors and are no aggregates; see gateway::Refusal
@@ -57,8 +63,17 @@
   explicit RetirementAnswer(bool Completed) : m_Completed(Completed) {}
   bool m_Completed;
 };
-using ControlAnswer = std::variant<SuccessAnswer, FailureAnswer,
-                                   ConfigurationAnswer, RetirementAnswer>;
+struct HeldRequestsAnswer {
+  explicit HeldRequestsAnswer(messages::fleet::HeldRequests Held)
+      : m_Held(std::move(Held)) {}
+  messages::fleet::HeldRequests m_Held;
+};
+using ControlAnswer =
+    std::variant<SuccessAnswer, FailureAnswer, ConfigurationAnswer,
+                 RetirementAnswer, HeldRequestsAnswer>;
+
+/// The answer to an operator whose call the control leader has executed.
+ControlAnswer controlAnswerOf(const messages::fleet::Reply &Received);
 
 class ControlProtocol {
 public:
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -21,8 +21,6 @@
 namespace {
 
 constexpr base::Duration MaintenanceInterval = base::milliseconds(500);
-/// Number of the only control group.
-constexpr std::uint32_t ControlGroup = 0;
 
 constexpr std::size_t IdentityBytes = 8;
 /// Maximum number of control nodes besides the members that receive the control
@@ -131,6 +129,8 @@
         asio::detached);
   } else if (Message.has_reply()) {
     m_ForwardedRequests.onReply(Message.reply());
+  } else if (Message.has_crashes()) {
+    onCrashReports(Message.crashes());
   } else if (Message.has_leaders()) {
     for (const auto &Leadership : Message.leaders().leaders())
       m_HistoryLeaders.merge(Leadership);
@@ -145,6 +145,8 @@
     m_Node.links().send(Peer.name(), Endpoints);
   if (group().isCurrent())
     m_Node.links().send(Peer.name(), configurationMessage(Peer.kind()));
+  if (Peer.kind() == NODE_ENTRY && m_PublishedHolds > 0)
+    m_Node.links().send(Peer.name(), heldRequestsMessage());
 }
 
 asio::awaitable<void> Coordinator::serveRequest(std::string From,
@@ -192,26 +194,21 @@
            {"configuration", m_Configuration.m_Version}});
     co_return Result;
   }
-  link::Waiter Waiting(m_Node.io());
-  if (Received.has_submit() || Received.has_retire()) {
+  if (Received.has_try_held())
+    co_return co_await tryHeldRequest(Received.try_held().fingerprint());
+  if (Received.has_submit() || Received.has_retire() ||
+      Received.has_release()) {
     messages::fleet::ControlGroupCommand Command;
     if (Received.has_submit())
       *Command.mutable_configuration() = Received.submit();
-    else
+    else if (Received.has_retire())
       Command.mutable_retire()->set_member(Received.retire().node());
-    const auto Index =
-        m_Group->propose(ControlGroup, Command.SerializeAsString());
-    if (!Index)
-      co_return Result;
-    if (group().commitIndex() < *Index) {
-      m_CommitWaiters[*Index] = &Waiting;
-      const bool Committed = co_await Waiting.wait(m_Options.m_ForwardTimeout);
-      m_CommitWaiters.erase(*Index);
-      if (!Committed)
-        co_return Result;
-    }
-    Result.set_kind(messages::fleet::REPLY_OK);
+    else
+      *Command.mutable_release() = Received.release();
+    if (co_await commit(std::move(Command)))
+      Result.set_kind(messages::fleet::REPLY_OK);
   } else if (Received.has_read()) {
+    link::Waiter Waiting(m_Node.io());
     const auto Ticket = m_Group->beginRead(ControlGroup);
     if (!Ticket)
       co_return Result;
@@ -228,6 +225,21 @@
   co_return Result;
 }
 
+asio::awaitable<bool>
+Coordinator::commit(messages::fleet::ControlGroupCommand Command) {
+  const auto Index =
+      m_Group->propose(ControlGroup, Command.SerializeAsString());
+  if (!Index)
+    co_return false;
+  if (group().commitIndex() >= *Index)
+    co_return true;
+  link::Waiter Waiting(m_Node.io());
+  m_CommitWaiters[*Index] = &Waiting;
+  const bool Committed = co_await Waiting.wait(m_Options.m_ForwardTimeout);
+  m_CommitWaiters.erase(*Index);
+  co_return Committed;
+}
+
 asio::awaitable<Coordinator::Reply>
 Coordinator::forward(const std::string &Node, Request Forwarded) {
   Forwarded.set_id(m_ForwardedRequests.nextId());
@@ -254,6 +266,7 @@
   if (m_WaitersTerm != Group.term()) {
     m_WaitersTerm = Group.term();
     m_TokenAllocator.reset(base::readMonotonic());
+    m_PendingHolds.clear();
     for (const auto &[Index, Waiting] : m_CommitWaiters)
       Waiting->fire(false);
     for (const auto &[Ticket, Waiting] : m_ReadWaiters)
@@ -269,6 +282,9 @@
   // The configuration in the journal of a restarted member may be outdated.
   if (m_PublishedRevision != m_StateMachine.revision() && Group.isCurrent())
     publishConfiguration();
+  if (m_PublishedHolds != m_StateMachine.heldRequests().state().revision() &&
+      Group.isCurrent())
+    publishHeldRequests();
 }
 
 void Coordinator::publishConfiguration() {
@@ -379,6 +395,7 @@
       m_Node.broadcast(configurationMessage(NODE_ENTRY), NODE_ENTRY);
   }
   bootstrapHistory();
+  holdSuspects();
   m_MaintenanceTimer.expires_after(MaintenanceInterval);
   m_MaintenanceTimer.async_wait([this](boost::system::error_code Error) {
     if (!Error)
--- a/src/coordinator/Coordinator.h
+++ b/src/coordinator/Coordinator.h
@@ -6,6 +6,7 @@
 #define PSP_COORDINATOR_COORDINATOR_H
 
 #include "coordinator/ControlProtocol.h"
+#include "coordinator/CrashTracker.h"
 #include "coordinator/TokenAllocator.h"
 #include "fleet/ControlStateMachine.h"
 #include "fleet/EndpointDirectory.h"
@@ -21,6 +22,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace psp::coordinator {
@@ -57,10 +59,15 @@
   boost::asio::awaitable<void> serveRequest(std::string From, Request Received);
   boost::asio::awaitable<Reply> execute(Request Received, bool MayForward);
   boost::asio::awaitable<Reply> executeAsLeader(Request Received);
+  /// Proposes \p Command. Returns whether it was committed in time.
+  boost::asio::awaitable<bool>
+  commit(messages::fleet::ControlGroupCommand Command);
   boost::asio::awaitable<Reply> forward(const std::string &Node,
                                         Request Forwarded);
 
   // The control group.
+  /// Number of the only control group.
+  static constexpr std::uint32_t ControlGroup = 0;
   const consensus::Group &group() const;
   void onProgress();
   void publishConfiguration();
@@ -68,6 +75,15 @@
   void bootstrapHistory();
   bool canReachEntryInstances();
 
+  // Requests that end endpoints, in CoordinatorHolds.cpp.
+  void onCrashReports(const messages::fleet::CrashReports &Reports);
+  void onCrash(const messages::fleet::EndpointCrash &Crash);
+  void holdSuspects();
+  void publishHeldRequests();
+  LinkMessage heldRequestsMessage() const;
+  boost::asio::awaitable<Reply> tryHeldRequest(std::string Fingerprint);
+  boost::asio::awaitable<ControlAnswer> releaseRequest(ReleaseRequestCall Call);
+
   // Endpoints.
   void broadcastEndpoint(const messages::fleet::EndpointState &Endpoint);
   void flushHeartbeats();
@@ -100,6 +116,12 @@
   std::unique_ptr<link::GroupHost> m_Group;
   link::RequestTable m_ForwardedRequests;
   TokenAllocator m_TokenAllocator;
+  CrashTracker m_CrashTracker;
+  /// Requests for which a hold was proposed in this term.
+  std::set<std::string> m_PendingHolds;
+  std::uint64_t m_PublishedHolds = 0; ///< Revision of the held requests.
+  /// Holds of which this node has written a log line: number, by fingerprint.
+  std::map<std::string, std::uint32_t> m_LoggedHolds;
   std::unique_ptr<web::HttpServer> m_Server;
 
   /// Coroutines that wait for a commit, by index, or a read, by ticket.
--- a/src/coordinator/CoordinatorCalls.cpp
+++ b/src/coordinator/CoordinatorCalls.cpp
@@ -21,6 +21,8 @@
 /// batch.
 constexpr base::Duration HeartbeatBatchInterval = base::milliseconds(250);
 
+} // namespace
+
 ControlAnswer controlAnswerOf(const messages::fleet::Reply &Received) {
   using namespace messages::fleet;
   switch (Received.kind()) {
@@ -39,8 +41,6 @@
   }
 }
 
-} // namespace
-
 asio::awaitable<web::Response>
 Coordinator::onCall(const web::Request &Received) {
   ControlAnswer Answer = SuccessAnswer{};
@@ -54,6 +54,10 @@
       Answer = co_await submitConfiguration(std::move(*Submit));
     else if (auto *Retire = std::get_if<RetireNodeCall>(&Call))
       Answer = co_await retireNode(std::move(*Retire));
+    else if (auto *Release = std::get_if<ReleaseRequestCall>(&Call))
+      Answer = co_await releaseRequest(std::move(*Release));
+    else if (std::holds_alternative<ListHeldRequestsCall>(Call))
+      Answer = HeldRequestsAnswer(m_StateMachine.heldRequests().state());
     else
       Answer = co_await readConfiguration();
   } catch (const base::UserError &Error) {
--- /dev/null
+++ b/src/coordinator/CoordinatorHolds.cpp
@@ -0,0 +1,166 @@
+#include "coordinator/Coordinator.h"
+
+#include "base/Hash.h"
+#include "metrics/Names.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace psp::coordinator {
+
+namespace asio = boost::asio;
+using base::readMonotonic;
+using messages::fleet::HeldRequest;
+using messages::fleet::NODE_ENTRY;
+
+namespace {
+
+std::uint64_t wallMs() { return base::readClocks().m_Wall / 1000; }
+
+} // namespace
+
+void Coordinator::onCrashReports(const messages::fleet::CrashReports &Reports) {
+  for (const auto &Crash : Reports.crashes())
+    onCrash(Crash);
+  for (const std::string &Fingerprint : Reports.succeeded()) {
+    m_CrashTracker.clear(Fingerprint);
+    if (group().isEstablishedLeader() &&
+        m_StateMachine.heldRequests().find(Fingerprint)) {
+      messages::fleet::ControlGroupCommand Command;
+      Command.mutable_release()->set_fingerprint(Fingerprint);
+      m_Group->propose(ControlGroup, Command.SerializeAsString());
+    }
+  }
+}
+
+void Coordinator::onCrash(const messages::fleet::EndpointCrash &Crash) {
+  const std::string &Fingerprint = Crash.fingerprint();
+  if (m_StateMachine.heldRequests().find(Fingerprint))
+    return;
+  const bool Counted = m_CrashTracker.onCrash(Crash, readMonotonic());
+  const CrashTracker::Suspect &Suspected = *m_CrashTracker.find(Fingerprint);
+  m_Node.log().write("endpoint_crash_reported",
+                     {{"fingerprint", base::toHex(Fingerprint)},
+                      {"organisation", Crash.organisation()},
+                      {"route", Crash.route()},
+                      {"endpoint", Crash.endpoint()},
+                      {"counted", Counted ? "yes" : "no"},
+                      {"crashes", Suspected.m_Endpoints.size()}});
+  if (!Counted)
+    return;
+  m_Node.metrics().counter(metrics::names::EndpointCrashes).add();
+  if (group().isEstablishedLeader() && m_CrashTracker.isSuspect(Fingerprint)) {
+    LinkMessage Message;
+    Message.mutable_suspected()->add_fingerprints(Fingerprint);
+    m_Node.broadcast(Message, NODE_ENTRY);
+  }
+  holdSuspects();
+}
+
+/// Proposes to hold the requests that have ended too many endpoints.
+void Coordinator::holdSuspects() {
+  if (!group().isEstablishedLeader())
+    return;
+  for (const std::string &Fingerprint : m_CrashTracker.requestsToHold()) {
+    if (!m_PendingHolds.insert(Fingerprint).second)
+      continue;
+    const CrashTracker::Suspect &Suspected = *m_CrashTracker.find(Fingerprint);
+    messages::fleet::ControlGroupCommand Command;
+    auto &Hold = *Command.mutable_hold();
+    Hold.set_fingerprint(Fingerprint);
+    Hold.set_organisation(Suspected.m_Organisation);
+    Hold.set_route(Suspected.m_Route);
+    Hold.set_hold(m_StateMachine.heldRequests().nextHold(Fingerprint));
+    for (const auto &[Endpoint, StartTime] : Suspected.m_Endpoints)
+      Hold.add_endpoints(Endpoint);
+    if (!m_Group->propose(ControlGroup, Command.SerializeAsString()))
+      m_PendingHolds.erase(Fingerprint); // Proposed again by the maintenance.
+  }
+}
+
+void Coordinator::publishHeldRequests() {
+  const messages::fleet::HeldRequests &Held =
+      m_StateMachine.heldRequests().state();
+  for (const HeldRequest &Entry : Held.requests()) {
+    m_CrashTracker.clear(Entry.fingerprint());
+    m_PendingHolds.erase(Entry.fingerprint());
+    if (m_LoggedHolds[Entry.fingerprint()] == Entry.holds())
+      continue;
+    m_LoggedHolds[Entry.fingerprint()] = Entry.holds();
+    m_Node.log().write(
+        "request_held",
+        {{"fingerprint", base::toHex(Entry.fingerprint())},
+         {"organisation", Entry.organisation()},
+         {"route", Entry.route()},
+         {"endpoints", static_cast<std::uint64_t>(Entry.endpoints_size())},
+         {"holds", Entry.holds()},
+         {"since_ms", Entry.since_ms()},
+         {"until_ms", Entry.until_ms()}});
+  }
+  std::erase_if(m_LoggedHolds, [&](const auto &Entry) {
+    return !m_StateMachine.heldRequests().find(Entry.first);
+  });
+  m_PublishedHolds = Held.revision();
+  m_Node.metrics()
+      .gauge(metrics::names::RequestsHeld)
+      .set(Held.requests_size());
+  m_Node.broadcast(heldRequestsMessage(), NODE_ENTRY);
+}
+
+Coordinator::LinkMessage Coordinator::heldRequestsMessage() const {
+  LinkMessage Message;
+  *Message.mutable_held() = m_StateMachine.heldRequests().state();
+  const std::uint64_t Now = wallMs();
+  for (HeldRequest &Entry : *Message.mutable_held()->mutable_requests()) {
+    Entry.set_left_ms(std::max(Entry.until_ms(), Now) - Now);
+    Entry.clear_endpoints();
+  }
+  return Message;
+}
+
+/// Lets one call try a held request whose hold has ended. The next hold begins
+/// at once, so that the call is the only one even if this node fails.
+asio::awaitable<Coordinator::Reply>
+Coordinator::tryHeldRequest(std::string Fingerprint) {
+  Reply Result;
+  Result.set_kind(messages::fleet::REPLY_OK);
+  const HeldRequest *Held = m_StateMachine.heldRequests().find(Fingerprint);
+  if (!Held)
+    co_return Result;
+  Result.set_kind(messages::fleet::REPLY_BUSY);
+  if (wallMs() < Held->until_ms() || !m_PendingHolds.insert(Fingerprint).second)
+    co_return Result;
+  messages::fleet::ControlGroupCommand Command;
+  Command.mutable_hold()->set_fingerprint(Fingerprint);
+  Command.mutable_hold()->set_hold(Held->holds() + 1);
+  const bool Committed = co_await commit(std::move(Command));
+  m_PendingHolds.erase(Fingerprint);
+  m_Node.log().write("held_request_tried",
+                     {{"fingerprint", base::toHex(Fingerprint)},
+                      {"outcome", Committed ? "granted" : "not committed"}});
+  if (Committed)
+    Result.set_kind(messages::fleet::REPLY_OK);
+  co_return Result;
+}
+
+asio::awaitable<ControlAnswer>
+Coordinator::releaseRequest(ReleaseRequestCall Call) {
+  const auto &Requests = m_StateMachine.heldRequests().state().requests();
+  const auto Held =
+      std::ranges::find_if(Requests, [&](const HeldRequest &Listed) {
+        return base::toHex(Listed.fingerprint()) == Call.m_FingerprintHex;
+      });
+  if (Held == Requests.end())
+    co_return FailureAnswer(base::ErrorKind::NotFound,
+                            "no held request has this fingerprint");
+  Request Outgoing;
+  Outgoing.mutable_release()->set_fingerprint(Held->fingerprint());
+  const Reply Received = co_await execute(std::move(Outgoing), true);
+  m_Node.log().write(
+      "request_released",
+      {{"fingerprint", Call.m_FingerprintHex},
+       {"outcome", messages::fleet::ReplyKind_Name(Received.kind())}});
+  co_return controlAnswerOf(Received);
+}
+
+} // namespace psp::coordinator
--- a/src/fleet/ControlStateMachine.cpp
+++ b/src/fleet/ControlStateMachine.cpp
@@ -6,9 +6,8 @@
 
 namespace psp::fleet {
 
-void ControlStateMachine::apply(std::uint64_t /*Index*/,
-                                std::string_view Command,
-                                std::uint64_t /*WallMs*/) {
+void ControlStateMachine::apply(std::uint64_t Index, std::string_view Command,
+                                std::uint64_t WallMs) {
   const auto Parsed =
       messages::parseMessage<messages::fleet::ControlGroupCommand>(
           Command, "control state");
@@ -25,6 +24,10 @@
     m_State.add_retiring(Parsed.retire().member());
     ++m_Revision;
   }
+  if (Parsed.has_hold())
+    m_HeldRequests.hold(Parsed.hold(), Index, WallMs);
+  if (Parsed.has_release())
+    m_HeldRequests.release(Parsed.release().fingerprint(), Index);
 }
 
 bool ControlStateMachine::isRetiring(const std::string &Member) const {
@@ -32,12 +35,16 @@
 }
 
 std::string ControlStateMachine::snapshot() const {
-  return m_State.SerializeAsString();
+  messages::fleet::ControlGroupSnapshot State = m_State;
+  *State.mutable_held() = m_HeldRequests.state();
+  return State.SerializeAsString();
 }
 
 void ControlStateMachine::restore(std::string_view Snapshot) {
   m_State = messages::parseMessage<messages::fleet::ControlGroupSnapshot>(
       Snapshot, "control state");
+  m_HeldRequests.restore(m_State.held());
+  m_State.clear_held();
   ++m_Revision;
 }
 
--- a/src/fleet/ControlStateMachine.h
+++ b/src/fleet/ControlStateMachine.h
@@ -1,12 +1,13 @@
 /// \file
 /// The replicated state of the control group: the configuration with the
-/// highest version, the initial members of the history groups, and the disks
-/// that are to be emptied.
+/// highest version, the initial members of the history groups, the disks that
+/// are to be emptied, and the requests that are kept from endpoints.
 
 #ifndef PSP_FLEET_CONTROLSTATEMACHINE_H
 #define PSP_FLEET_CONTROLSTATEMACHINE_H
 
 #include "consensus/StateMachine.h"
+#include "fleet/HeldRequestList.h"
 #include "generated/fleet.pb.h"
 
 #include <cstdint>
@@ -33,11 +34,15 @@
   /// Identities of the disks that are to be emptied.
   const auto &retiring() const { return m_State.retiring(); }
   bool isRetiring(const std::string &Member) const;
-  /// Incremented by each change, so that a publisher can detect changes.
+  const HeldRequestList &heldRequests() const { return m_HeldRequests; }
+  /// Incremented by each change, except of the held requests,
+  /// so that a publisher can detect changes.
   std::uint64_t revision() const { return m_Revision; }
 
 private:
+  /// Without the held requests.
   messages::fleet::ControlGroupSnapshot m_State;
+  HeldRequestList m_HeldRequests;
   std::uint64_t m_Revision = 0;
 };
 
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -1,5 +1,6 @@
 #include "gateway/Call.h"
 
+#include "fleet/RequestFingerprint.h"
 #include "gateway/Gateway.h"
 #include "gateway/RateAdmission.h"
 #include "gateway/RetryTime.h"
@@ -30,6 +31,8 @@
 constexpr base::Duration RateRetryDelay = base::milliseconds(500);
 /// A call with less time left than this can't be served before its deadline.
 constexpr base::Duration MinTimeLeft = base::milliseconds(5);
+/// For a held request that may be tried soon, by another call.
+constexpr base::Duration MinHoldRetryDelay = base::seconds(1);
 /// Timeout of each request that decides whether a call is within the rate.
 constexpr base::Duration RateRequestTimeout = base::milliseconds(250);
 
@@ -91,6 +94,10 @@
   }
   armDeadline();
   watchForDisconnect();
+  if (auto Reason = co_await checkHold()) {
+    co_await refuse(std::move(*Reason));
+    co_return;
+  }
   if (m_Organisation && !co_await takeRateToken()) {
     co_await refuse(Refusal(ErrorKind::RateLimited,
                             "the organisation's rate limit is exhausted",
@@ -132,6 +139,38 @@
   return std::nullopt;
 }
 
+/// Refuses a held request, unless the control leader lets it be tried.
+asio::awaitable<std::optional<Refusal>> Call::checkHold() {
+  if (m_Gateway.heldRequests().empty())
+    co_return std::nullopt;
+  const auto Left =
+      m_Gateway.heldRequests().holdLeft(fingerprint(), base::readMonotonic());
+  if (Left && *Left == base::Duration(0)) {
+    messages::fleet::Request LeaderRequest;
+    LeaderRequest.mutable_try_held()->set_fingerprint(fingerprint());
+    const auto LeaderReply = co_await m_Gateway.requestFromLeader(
+        messages::fleet::NODE_CONTROL, LeaderRequest,
+        std::min(RateRequestTimeout, timeLeft()));
+    m_MayTryHeld =
+        LeaderReply && LeaderReply->kind() == messages::fleet::REPLY_OK;
+  }
+  co_return holdRefusal();
+}
+
+/// Empty if the request is not held, or may be tried.
+std::optional<Refusal> Call::holdRefusal() {
+  if (m_MayTryHeld || m_Gateway.heldRequests().empty())
+    return std::nullopt;
+  const auto Left =
+      m_Gateway.heldRequests().holdLeft(fingerprint(), base::readMonotonic());
+  if (!Left)
+    return std::nullopt;
+  return Refusal(ErrorKind::RequestHeld,
+                 "this request has ended several endpoints that ran it; it is "
+                 "kept from endpoints for a time",
+                 std::max(*Left, MinHoldRetryDelay));
+}
+
 asio::awaitable<bool> Call::takeRateToken() {
   RateAdmission Admission(
       m_Gateway.rates(), m_Gateway.programs(), *m_Organisation,
@@ -388,6 +427,26 @@
   return m_Organisation ? m_Organisation->m_Name : std::string();
 }
 
+/// Recognises repetitions of the request.
+const std::string &Call::fingerprint() {
+  if (m_Fingerprint.empty())
+    m_Fingerprint = fleet::requestFingerprint(
+        organisationName(), m_Request.target(), m_Request.body());
+  return m_Fingerprint;
+}
+
+void Call::reportCrash(const fleet::EndpointState &Endpoint, TimePoint SentAt) {
+  messages::fleet::EndpointCrash Crash;
+  Crash.set_fingerprint(fingerprint());
+  Crash.set_organisation(organisationName());
+  Crash.set_route(m_Route->m_Name);
+  Crash.set_endpoint(Endpoint.id());
+  Crash.set_born(Endpoint.born());
+  Crash.set_repeated(m_LostSends++ > 0);
+  m_MayTryHeld = false; // One attempt is enough to show it.
+  m_Gateway.reportCrashAsync(std::move(Crash), Endpoint.address(), SentAt);
+}
+
 std::uint32_t Call::priority() const {
   if (!m_Route)
     return 0;
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -66,6 +66,8 @@
   boost::asio::awaitable<std::optional<std::uint32_t>>
   requestRateTokens(const RateAdmission &Admission);
   boost::asio::awaitable<bool> hasProgramBegun();
+  boost::asio::awaitable<std::optional<Refusal>> checkHold();
+  std::optional<Refusal> holdRefusal();
   boost::asio::awaitable<std::optional<Refusal>> beginTurn();
   boost::asio::awaitable<void> refuse(Refusal Reason);
 
@@ -85,6 +87,7 @@
   std::string formatHead(const ResponseHead &Head,
                          const std::string &Framing) const;
   bool mayRetry() const;
+  bool hasGivenUp(const std::string &Endpoint) const;
   bool exceedsMaxTokens(std::uint64_t Tokens) const;
   /// Schedules checks that abort the wait for \p Endpoint when it becomes
   /// unreachable.
@@ -109,6 +112,8 @@
   std::string organisationName() const;
   /// Zero is the highest.
   std::uint32_t priority() const;
+  const std::string &fingerprint();
+  void reportCrash(const fleet::EndpointState &Endpoint, TimePoint SentAt);
 
   Gateway &m_Gateway;
   boost::asio::ip::tcp::socket &m_CallerSocket;
@@ -145,6 +150,13 @@
   bool m_WritingToCaller = false; ///< Blocked until the caller reads.
   std::optional<InactivityMonitor> m_InactivityMonitor;
   boost::asio::steady_timer m_InactivityTimer;
+  std::string m_Fingerprint; ///< Empty until it is needed.
+  /// The control leader lets a held request be tried with this call.
+  bool m_MayTryHeld = false;
+  /// The connection ended before the endpoint had answered completely.
+  bool m_ConnectionLost = false;
+  /// Number of sends whose connection was lost.
+  std::uint32_t m_LostSends = 0;
   /// Number of endpoints that may have executed the call.
   std::uint32_t m_Executions = 0;
 };
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -91,6 +91,13 @@
     if (!Selected)
       break;
     AnyCandidate = true;
+    if (auto Reason = holdRefusal()) {
+      if (m_Executions > 0)
+        Reason.emplace(ErrorKind::EndpointFailed,
+                       "the endpoints that ran the call have failed");
+      co_await refuse(std::move(*Reason));
+      co_return;
+    }
     // Copied, since the directory may change while the call waits.
     const fleet::EndpointState Endpoint = *Selected;
     const std::string &Id = Endpoint.id();
@@ -98,12 +105,19 @@
     const TimePoint Start = base::readMonotonic();
     m_CurrentEndpoint = Id;
     m_CurrentAddress = Endpoint.address();
+    m_ConnectionLost = false;
     const SendOutcome Outcome = co_await sendTo(Endpoint);
     const bool Success = Outcome == SendOutcome::Answered;
     Placement.onDone(
         Id, Success ? base::readMonotonic() - Start : base::Duration(0),
         base::readMonotonic());
     Excluded.insert(Id);
+    if (m_ConnectionLost)
+      reportCrash(Endpoint, Start);
+    else if (Outcome == SendOutcome::Answered &&
+             !m_Gateway.heldRequests().empty() &&
+             m_Gateway.heldRequests().onSuccess(fingerprint()))
+      m_Gateway.reportSuccess(fingerprint());
     if (Outcome == SendOutcome::Answered)
       co_return;
     if (Outcome == SendOutcome::Broken) {
@@ -211,6 +225,7 @@
     if (isCancelled())
       co_return SendOutcome::Ended;
     Placement.onFailed(Id);
+    m_ConnectionLost = !hasGivenUp(Id);
     co_return SendOutcome::Unknown;
   }
   Placement.onBytesReceived(Id, Record.m_RespondedAt);
@@ -240,6 +255,8 @@
   const SendOutcome Outcome = Streams ? co_await forwardStream(*Channel)
                                       : co_await forwardBuffered(*Channel);
   logSend(Record, outcomeName(Outcome));
+  m_ConnectionLost =
+      !Channel->isComplete() && !isCancelled() && !hasGivenUp(Id);
   if (Channel->isReusable())
     m_Gateway.pool().release(std::move(Channel), HeadMetadata.m_IdleTimeout);
   if (Outcome == SendOutcome::Unknown || Outcome == SendOutcome::Broken)
@@ -247,6 +264,12 @@
   co_return Outcome;
 }
 
+/// Whether this call has abandoned \p Endpoint as unreachable.
+bool Call::hasGivenUp(const std::string &Endpoint) const {
+  return std::ranges::find(m_UnreachableEndpoints, Endpoint) !=
+         m_UnreachableEndpoints.end();
+}
+
 void Call::logSend(const SendRecord &Record, std::string_view Outcome) {
   const auto SinceArrival = [this](TimePoint At) {
     return static_cast<std::uint64_t>((At - m_ArrivedAt).count());
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -109,6 +109,11 @@
     onConfiguration(Message.configuration());
   else if (Message.has_leaders())
     onLeaders(Message.leaders());
+  else if (Message.has_held())
+    onHeldRequests(Message.held());
+  else if (Message.has_suspected())
+    for (const std::string &Fingerprint : Message.suspected().fingerprints())
+      m_HeldRequests.suspect(Fingerprint, base::readMonotonic());
   else if (Message.has_endpoints())
     for (const auto &Endpoint : Message.endpoints().endpoints())
       if (m_Endpoints.merge(Endpoint, false, base::readMonotonic()))
@@ -158,6 +163,52 @@
   }
 }
 
+void Gateway::onHeldRequests(const messages::fleet::HeldRequests &Update) {
+  m_HeldRequests.update(Update, base::readMonotonic());
+  m_Node.metrics()
+      .gauge(metrics::names::RequestsHeld)
+      .set(static_cast<std::int64_t>(m_HeldRequests.heldCount()));
+  m_Node.log().write("held_requests_received",
+                     {{"revision", Update.revision()},
+                      {"requests", m_HeldRequests.heldCount()}});
+}
+
+void Gateway::reportCrashAsync(messages::fleet::EndpointCrash Crash,
+                               std::string Address, base::TimePoint SentAt) {
+  asio::co_spawn(io(),
+                 reportCrash(std::move(Crash), std::move(Address), SentAt),
+                 asio::detached);
+}
+
+asio::awaitable<void> Gateway::reportCrash(messages::fleet::EndpointCrash Crash,
+                                           std::string Address,
+                                           base::TimePoint SentAt) {
+  const base::TimePoint LostAt = base::readMonotonic();
+  const bool Reachable = co_await m_Probe.check(Address);
+  const base::TimePoint Now = base::readMonotonic();
+  m_Node.log().write("endpoint_lost_call",
+                     {{"fingerprint", base::toHex(Crash.fingerprint())},
+                      {"organisation", Crash.organisation()},
+                      {"route", Crash.route()},
+                      {"endpoint", Crash.endpoint()},
+                      {"born", Crash.born()},
+                      {"reachable", Reachable ? "yes" : "no"}});
+  if (Reachable)
+    co_return;
+  Crash.set_sent_us_ago(static_cast<std::uint64_t>((Now - SentAt).count()));
+  Crash.set_lost_us_ago(static_cast<std::uint64_t>((Now - LostAt).count()));
+  m_HeldRequests.suspect(Crash.fingerprint(), Now);
+  LinkMessage Message;
+  *Message.mutable_crashes()->add_crashes() = std::move(Crash);
+  m_Node.broadcast(Message, NODE_CONTROL);
+}
+
+void Gateway::reportSuccess(const std::string &Fingerprint) {
+  LinkMessage Message;
+  Message.mutable_crashes()->add_succeeded(Fingerprint);
+  m_Node.broadcast(Message, NODE_CONTROL);
+}
+
 void Gateway::onLeaders(const messages::fleet::LeaderUpdate &Update) {
   for (const auto &Leader : Update.leaders())
     if (m_Leaders.merge(Leader))
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -9,6 +9,7 @@
 #include "fleet/RouteTable.h"
 #include "gateway/CallProtocol.h"
 #include "gateway/EndpointChannel.h"
+#include "gateway/HeldRequestTable.h"
 #include "gateway/LeaderSearch.h"
 #include "gateway/RateShares.h"
 #include "gateway/ReachabilityProbe.h"
@@ -110,6 +111,13 @@
   /// leaving. It gets no new calls from this instance, and control and history
   /// nodes are notified.
   void onEndpointLeaving(const std::string &Id, std::uint64_t StartTime);
+  HeldRequestTable &heldRequests() { return m_HeldRequests; }
+  /// Reports in the background that \p Crash has lost a call, if the endpoint
+  /// at \p Address accepts no connection any more.
+  void reportCrashAsync(messages::fleet::EndpointCrash Crash,
+                        std::string Address, base::TimePoint SentAt);
+  /// Reports that an endpoint has answered a suspected request.
+  void reportSuccess(const std::string &Fingerprint);
   ServicePlacement &placement() { return m_Placement; }
   EndpointPool &pool() { return m_Pool; }
   /// Whether the endpoint at \p Address accepts a connection now.
@@ -141,9 +149,13 @@
   using NodeState = fleet::NodeState;
 
   void onMessage(LinkMessage &Message);
+  void onHeldRequests(const messages::fleet::HeldRequests &Update);
   void onConfiguration(const messages::fleet::ConfigurationUpdate &Update);
   boost::asio::awaitable<void> accept();
   boost::asio::awaitable<void> recordTurnEnd(messages::fleet::EndTurn End);
+  boost::asio::awaitable<void> reportCrash(messages::fleet::EndpointCrash Crash,
+                                           std::string Address,
+                                           base::TimePoint SentAt);
   void runMaintenance();
   void probeLeader();
   base::Duration probeInterval() const;
@@ -170,6 +182,7 @@
   EndpointPool m_Pool;
   ReachabilityProbe m_Probe;
   ServicePlacement m_Placement;
+  HeldRequestTable m_HeldRequests;
   RateShares m_Rates;
   RecentPrograms m_Programs;
   link::RequestTable m_PendingRequests;
--- /dev/null
+++ b/src/gateway/HeldRequestTable.cpp
@@ -0,0 +1,43 @@
+#include "gateway/HeldRequestTable.h"
+
+#include <algorithm>
+
+namespace psp::gateway {
+
+void HeldRequestTable::update(const messages::fleet::HeldRequests &Update,
+                              base::TimePoint Now) {
+  if (Update.revision() < m_Revision)
+    return;
+  m_Revision = Update.revision();
+  m_Held.clear();
+  for (const auto &Request : Update.requests())
+    m_Held[Request.fingerprint()] =
+        Now + base::milliseconds(static_cast<std::int64_t>(Request.left_ms()));
+}
+
+void HeldRequestTable::suspect(const std::string &Fingerprint,
+                               base::TimePoint Now) {
+  std::erase_if(m_Suspects, [&](const auto &Entry) {
+    return Now - Entry.second > m_Options.m_SuspicionTime;
+  });
+  if (m_Suspects.size() >= m_Options.m_MaxSuspects)
+    m_Suspects.erase(std::ranges::min_element(
+        m_Suspects, {}, [](const auto &Entry) { return Entry.second; }));
+  m_Suspects.try_emplace(Fingerprint, Now);
+}
+
+std::optional<base::Duration>
+HeldRequestTable::holdLeft(const std::string &Fingerprint,
+                           base::TimePoint Now) const {
+  const auto It = m_Held.find(Fingerprint);
+  if (It == m_Held.end())
+    return std::nullopt;
+  return std::max<base::Duration>(base::Duration(0), It->second - Now);
+}
+
+bool HeldRequestTable::onSuccess(const std::string &Fingerprint) {
+  // The list of held requests follows the control group's.
+  return m_Suspects.erase(Fingerprint) > 0 || m_Held.contains(Fingerprint);
+}
+
+} // namespace psp::gateway
--- a/src/metrics/Names.h
+++ b/src/metrics/Names.h
@@ -57,6 +57,11 @@
                                   "Turns that later turns may continue from"};
 inline const MetricName Announcements{"psp_announcements_total",
                                       "Announcements of endpoints taken"};
+inline const MetricName RequestsHeld{
+    "psp_requests_held", "Requests kept from endpoints, known here"};
+inline const MetricName EndpointCrashes{
+    "psp_endpoint_crashes_total",
+    "Crashes of endpoints that count against a request"};
 inline const MetricName ConfigurationVersion{"psp_configuration_version",
                                              "Version in force here"};
 
--- /dev/null
+++ b/tests/correctness/HeldRequestTest.cpp
@@ -0,0 +1,250 @@
+// A request that ends each endpoint that runs it is kept from endpoints; sound
+// requests that were lost with it are not.
+
+#include "base/Hash.h"
+#include "coordinator/CrashTracker.h"
+#include "fleet/ControlStateMachine.h"
+#include "fleet/HeldRequestList.h"
+#include "fleet/RequestFingerprint.h"
+#include "gateway/HeldRequestTable.h"
+
+#include <gtest/gtest.h>
+
+namespace psp {
+namespace {
+
+using base::milliseconds;
+using base::seconds;
+
+TEST(RequestFingerprintTest, RepetitionsOfARequestAreRecognised) {
+  const std::string Own = fleet::requestFingerprint("guild", "/a/1", "body");
+  EXPECT_EQ(fleet::requestFingerprint("guild", "/a/1", "body"), Own);
+  EXPECT_EQ(Own.size(), 16U);
+  // The same request of another organisation is another request.
+  EXPECT_NE(fleet::requestFingerprint("other", "/a/1", "body"), Own);
+  EXPECT_NE(fleet::requestFingerprint("guild", "/a/2", "body"), Own);
+  EXPECT_NE(fleet::requestFingerprint("guild", "/a/1", "bodies"), Own);
+  // Parts are not joined.
+  EXPECT_NE(fleet::requestFingerprint("guild", "/a/1b", "ody"), Own);
+}
+
+class CrashTrackerTest : public testing::Test {
+protected:
+  /// The call was sent \p SentAgo before it was lost, which is now.
+  bool lose(const std::string &Fingerprint, const std::string &Endpoint,
+            base::Duration SentAgo = milliseconds(50)) {
+    messages::fleet::EndpointCrash Crash;
+    Crash.set_fingerprint(Fingerprint);
+    Crash.set_organisation("guild");
+    Crash.set_endpoint(Endpoint);
+    Crash.set_born(1);
+    Crash.set_sent_us_ago(static_cast<std::uint64_t>(SentAgo.count()));
+    return m_Tracker.onCrash(Crash, m_Now);
+  }
+
+  coordinator::CrashTracker m_Tracker;
+  base::TimePoint m_Now{seconds(100)};
+};
+
+TEST_F(CrashTrackerTest, OneRequestEndsOneEndpointAfterAnother) {
+  EXPECT_TRUE(lose("deadly", "a"));
+  EXPECT_FALSE(m_Tracker.isSuspect("deadly"));
+  m_Now += milliseconds(300);
+  EXPECT_TRUE(lose("deadly", "b"));
+  EXPECT_TRUE(m_Tracker.isSuspect("deadly"));
+  EXPECT_FALSE(m_Tracker.shouldHold("deadly"));
+  m_Now += milliseconds(300);
+  EXPECT_TRUE(lose("deadly", "c"));
+  EXPECT_TRUE(m_Tracker.shouldHold("deadly"));
+  EXPECT_EQ(m_Tracker.requestsToHold(), std::vector<std::string>{"deadly"});
+}
+
+TEST_F(CrashTrackerTest, EndpointsThatEndTogetherCountOnce) {
+  // A sound request runs on three endpoints of a data centre that fails.
+  EXPECT_TRUE(lose("sound", "a", milliseconds(50)));
+  m_Now += milliseconds(5);
+  EXPECT_FALSE(lose("sound", "b", milliseconds(50)));
+  m_Now += milliseconds(5);
+  EXPECT_FALSE(lose("sound", "c", milliseconds(50)));
+  EXPECT_FALSE(m_Tracker.isSuspect("sound"));
+}
+
+TEST_F(CrashTrackerTest, RetriesOfTheSystemCountLikeThoseOfCallers) {
+  // Sent again at once, so that the times of the reports can't order them.
+  messages::fleet::EndpointCrash Crash;
+  Crash.set_fingerprint("deadly");
+  Crash.set_endpoint("a");
+  Crash.set_sent_us_ago(9000);
+  EXPECT_TRUE(m_Tracker.onCrash(Crash, m_Now));
+  Crash.set_endpoint("b");
+  Crash.set_repeated(true);
+  EXPECT_TRUE(m_Tracker.onCrash(Crash, m_Now + milliseconds(1)));
+  EXPECT_TRUE(m_Tracker.isSuspect("deadly"));
+}
+
+TEST_F(CrashTrackerTest, OneEndpointCountsOnceForEachOfItsRequests) {
+  for (int Request = 0; Request < 40; ++Request)
+    for (int Repetition = 0; Repetition < 3; ++Repetition)
+      lose("sound-" + std::to_string(Request), "a");
+  EXPECT_TRUE(m_Tracker.requestsToHold().empty());
+  for (int Request = 0; Request < 40; ++Request)
+    EXPECT_FALSE(m_Tracker.isSuspect("sound-" + std::to_string(Request)));
+}
+
+TEST_F(CrashTrackerTest, OneSuccessEndsSuspicion) {
+  lose("sound", "a");
+  m_Now += seconds(1);
+  lose("sound", "b");
+  m_Tracker.clear("sound");
+  m_Now += seconds(1);
+  lose("sound", "c");
+  EXPECT_FALSE(m_Tracker.isSuspect("sound"));
+}
+
+TEST_F(CrashTrackerTest, SuspicionFallsOffWithTime) {
+  for (const char *Endpoint : {"a", "b", "c", "d"}) {
+    lose("rare", Endpoint);
+    m_Now += seconds(3600);
+  }
+  EXPECT_FALSE(m_Tracker.isSuspect("rare"));
+}
+
+TEST_F(CrashTrackerTest, MemoryIsBoundedWhateverCallersSend) {
+  for (int Request = 0; Request < 20000; ++Request) {
+    m_Now += milliseconds(1);
+    lose(std::to_string(Request), "a");
+  }
+  EXPECT_LE(m_Tracker.size(), coordinator::CrashTrackerOptions().m_MaxRequests);
+}
+
+class HeldRequestListTest : public testing::Test {
+protected:
+  bool hold(const std::string &Fingerprint, std::uint32_t Number) {
+    messages::fleet::HoldRequest Command;
+    Command.set_fingerprint(Fingerprint);
+    Command.set_organisation("guild");
+    Command.set_hold(Number);
+    return m_List.hold(Command, ++m_Index, m_WallMs);
+  }
+  std::uint64_t left(const std::string &Fingerprint) const {
+    return m_List.find(Fingerprint)->until_ms() - m_WallMs;
+  }
+
+  fleet::HeldRequestList m_List;
+  std::uint64_t m_Index = 0;
+  std::uint64_t m_WallMs = 1000000;
+};
+
+TEST_F(HeldRequestListTest, EachHoldIsLongerThanTheLast) {
+  EXPECT_EQ(m_List.nextHold("deadly"), 1U);
+  std::uint64_t Longest = 0;
+  for (std::uint32_t Number = 1; Number <= 4; ++Number) {
+    EXPECT_TRUE(hold("deadly", Number));
+    EXPECT_GT(left("deadly"), Longest);
+    Longest = left("deadly");
+    m_WallMs += Longest;
+  }
+  // After three crashes, at most three attempts within a day.
+  EXPECT_GE(m_WallMs, 1000000U + 24U * 3600 * 1000);
+}
+
+TEST_F(HeldRequestListTest, ARepeatedCommandChangesNothing) {
+  hold("deadly", 1);
+  const std::uint64_t Revision = m_List.state().revision();
+  m_WallMs += 1000;
+  EXPECT_FALSE(hold("deadly", 1));
+  EXPECT_FALSE(hold("deadly", 3));
+  EXPECT_EQ(m_List.state().revision(), Revision);
+}
+
+TEST_F(HeldRequestListTest, AReleasedRequestBeginsAnew) {
+  hold("sound", 1);
+  EXPECT_TRUE(m_List.release("sound", ++m_Index));
+  EXPECT_EQ(m_List.find("sound"), nullptr);
+  EXPECT_FALSE(m_List.release("sound", ++m_Index));
+  EXPECT_EQ(m_List.nextHold("sound"), 1U);
+}
+
+TEST_F(HeldRequestListTest, OldHoldsAreForgottenAndTheirNumberIsBounded) {
+  hold("old", 1);
+  m_WallMs += std::uint64_t{2} * 24 * 3600 * 1000;
+  for (int Request = 0; Request < 1000; ++Request, ++m_WallMs)
+    hold(std::to_string(Request), 1);
+  EXPECT_EQ(m_List.find("old"), nullptr);
+  EXPECT_LE(static_cast<std::size_t>(m_List.state().requests_size()),
+            fleet::HeldRequestListOptions().m_MaxRequests);
+  EXPECT_NE(m_List.find("999"), nullptr);
+}
+
+TEST(ControlStateMachineTest, HoldsSurviveASnapshot) {
+  fleet::ControlStateMachine Before;
+  messages::fleet::ControlGroupCommand Command;
+  Command.mutable_hold()->set_fingerprint("deadly");
+  Command.mutable_hold()->set_hold(1);
+  Before.apply(7, Command.SerializeAsString(), 1000);
+  fleet::ControlStateMachine After;
+  After.restore(Before.snapshot());
+  ASSERT_NE(After.heldRequests().find("deadly"), nullptr);
+  EXPECT_EQ(After.heldRequests().state().revision(), 7U);
+  Command.Clear();
+  Command.mutable_release()->set_fingerprint("deadly");
+  After.apply(8, Command.SerializeAsString(), 2000);
+  EXPECT_EQ(After.heldRequests().find("deadly"), nullptr);
+}
+
+class HeldRequestTableTest : public testing::Test {
+protected:
+  void update(std::uint64_t Revision, const std::string &Fingerprint,
+              std::uint64_t LeftMs) {
+    messages::fleet::HeldRequests Update;
+    Update.set_revision(Revision);
+    if (!Fingerprint.empty()) {
+      Update.add_requests()->set_fingerprint(Fingerprint);
+      Update.mutable_requests(0)->set_left_ms(LeftMs);
+    }
+    m_Table.update(Update, m_Now);
+  }
+
+  gateway::HeldRequestTable m_Table;
+  base::TimePoint m_Now{seconds(100)};
+};
+
+TEST_F(HeldRequestTableTest, ARequestIsHeldUntilItMayBeTried) {
+  EXPECT_TRUE(m_Table.empty());
+  update(5, "deadly", 2000);
+  EXPECT_EQ(m_Table.holdLeft("deadly", m_Now), milliseconds(2000));
+  EXPECT_EQ(m_Table.holdLeft("sound", m_Now), std::nullopt);
+  m_Now += seconds(3);
+  EXPECT_EQ(m_Table.holdLeft("deadly", m_Now), milliseconds(0));
+}
+
+TEST_F(HeldRequestTableTest, AnOlderListChangesNothing) {
+  update(5, "deadly", 2000);
+  update(4, "", 0);
+  EXPECT_TRUE(m_Table.holdLeft("deadly", m_Now).has_value());
+  update(6, "", 0);
+  EXPECT_FALSE(m_Table.holdLeft("deadly", m_Now).has_value());
+}
+
+TEST_F(HeldRequestTableTest, SuccessesOfSuspectedRequestsAreReported) {
+  EXPECT_FALSE(m_Table.onSuccess("sound"));
+  m_Table.suspect("sound", m_Now);
+  EXPECT_FALSE(m_Table.empty());
+  EXPECT_TRUE(m_Table.onSuccess("sound"));
+  EXPECT_TRUE(m_Table.empty());
+  update(5, "tried", 0);
+  EXPECT_TRUE(m_Table.onSuccess("tried"));
+}
+
+TEST_F(HeldRequestTableTest, SuspectsAreBoundedInNumberAndTime) {
+  for (int Request = 0; Request < 10000; ++Request)
+    m_Table.suspect(std::to_string(Request), m_Now += milliseconds(1));
+  EXPECT_FALSE(m_Table.onSuccess("0"));
+  EXPECT_TRUE(m_Table.onSuccess("9999"));
+  m_Now += seconds(3600);
+  m_Table.suspect("later", m_Now);
+  EXPECT_FALSE(m_Table.onSuccess("9998"));
+}
+
+} // namespace
+} // namespace psp
