A request that arrives as its connection is closed is answered

What callers saw: a whole request on a kept connection got neither an answer nor a refusal when it arrived at the moment of the idle timeout or of a planned stop.

Cause: the idle timeout and the planned stop closed the socket without looking at what had arrived on it. A stopping instance counted a call only once its request had been read, so it exited under a request that was being read; it also closed connections that were established but not accepted yet, and dropped a request whose bytes it had read together with the request before.

Both now only end the wait, and the session looks at the socket: what has arrived is read and answered, by a stopping instance with a refusal that says "not executed". nextIdleStep() has the order of precedence, without I/O. A call counts from the first byte of its request (RAII), and a stopping instance waits until each woken connection has decided. The connections in the backlog are accepted before the acceptor closes. A connection is not closed after a response while bytes of the next request have been read.

Evidence: tests/process/idle_connections.py sends requests while the instance is suspended, on connections that are open: they have arrived before the instance finds its timers expired, so that no request can have crossed a close.

What remains: bytes that arrive between the look at the socket and its close, a few microseconds, cross the close as HTTP/1.1 allows. The timeouts of a head and of a body still close the socket.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -39,9 +39,10 @@
 } // namespace
 
 Call::Call(Gateway &Owner, tcp::socket &Caller, Request Received,
-           bool KeepAlive)
+           ConnectionUse Use)
     : m_Gateway(Owner), m_CallerSocket(Caller), m_Request(std::move(Received)),
-      m_KeepAlive(KeepAlive), m_Metadata(Owner.protocol().parseCall(m_Request)),
+      m_Use(Use), m_KeepAlive(Use != ConnectionUse::Close),
+      m_Metadata(Owner.protocol().parseCall(m_Request)),
       m_RouteTable(Owner.routeTable()), m_ArrivedAt(base::readMonotonic()),
       m_Deadline(m_ArrivedAt), m_DeadlineTimer(Owner.io()),
       m_InactivityTimer(Owner.io()) {}
@@ -72,7 +73,7 @@
 
 asio::awaitable<void> Call::handle() {
   if (m_Gateway.isClosing()) {
-    m_KeepAlive = false;
+    closeIfIdle();
     co_await refuse(Refusal(ErrorKind::Stopping, "this instance is stopping",
                             EndpointRetryDelay));
     co_return;
@@ -330,7 +331,7 @@
   // A caller with a persistent connection stays at this instance; a new
   // connection goes to the instance that the balancer selects now.
   if (!m_Gateway.isReady())
-    m_KeepAlive = false;
+    closeIfIdle();
   Response ErrorResponse = m_Gateway.protocol().makeRefusal(m_Metadata, Reason);
   ErrorResponse.keep_alive(m_KeepAlive);
   ErrorResponse.prepare_payload();
@@ -418,6 +419,11 @@
       });
 }
 
+void Call::closeIfIdle() {
+  if (m_Use != ConnectionUse::KeepForNextRequest)
+    m_KeepAlive = false;
+}
+
 void Call::abort() {
   if (m_Abort)
     m_Abort();
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -38,10 +38,17 @@
   Ended,   ///< The caller disconnected, or the deadline has passed.
 };
 
+/// What happens to the caller's connection after the response.
+enum class ConnectionUse {
+  Close,
+  Keep,               ///< Until the instance stops.
+  KeepForNextRequest, ///< Bytes of the next request have been read.
+};
+
 class Call : public std::enable_shared_from_this<Call> {
 public:
   Call(Gateway &Owner, boost::asio::ip::tcp::socket &Caller, Request Received,
-       bool KeepAlive);
+       ConnectionUse Use);
 
   /// Handles the call. Returns whether the caller's connection may be reused.
   boost::asio::awaitable<bool> run();
@@ -106,6 +113,9 @@
   void onCallerReadable();
   void armDeadline();
   void abort();
+  /// Closes the connection after the response, unless a request that has been
+  /// read would be lost.
+  void closeIfIdle();
   bool isCancelled() const { return m_CallerDisconnected || m_DeadlineExpired; }
   base::Duration timeLeft() const;
   /// Empty on public routes.
@@ -118,6 +128,7 @@
   Gateway &m_Gateway;
   boost::asio::ip::tcp::socket &m_CallerSocket;
   Request m_Request;
+  const ConnectionUse m_Use;
   bool m_KeepAlive;
   CallMetadata m_Metadata;
   std::shared_ptr<const fleet::RouteTable> m_RouteTable;
--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/Call.h"
 #include "gateway/Gateway.h"
+#include "gateway/IdleStep.h"
 #include "web/OperationTimeout.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -16,6 +17,7 @@
 
 #include <memory>
 #include <optional>
+#include <sys/socket.h>
 #include <utility>
 
 namespace psp::gateway {
@@ -41,6 +43,8 @@
   using Parser = http::request_parser<http::string_body>;
 
   asio::awaitable<bool> waitForBytes();
+  bool hasBytes();
+  asio::awaitable<bool> serveRequest();
   asio::awaitable<bool> readRequest(Parser &RequestParser);
   asio::awaitable<void> rejectUnreadable(boost::system::error_code Error);
   void setTimeout(base::Duration Timeout);
@@ -56,41 +60,66 @@
   auto Self = shared_from_this();
   boost::system::error_code Ignored; // The connection works without the option.
   m_Socket.set_option(tcp::no_delay(true), Ignored);
-  bool KeepAlive = true;
-  while (KeepAlive) {
-    if (!co_await waitForBytes())
+  while (co_await waitForBytes())
+    if (!co_await serveRequest())
       break;
-    Parser RequestParser;
-    if (!co_await readRequest(RequestParser))
-      break;
-    const bool WantsKeepAlive = RequestParser.keep_alive();
-    auto CurrentCall =
-        std::make_shared<Call>(m_Gateway, m_Socket, RequestParser.release(),
-                               WantsKeepAlive && !m_Gateway.isStopping());
-    m_Gateway.onCallBegun();
-    KeepAlive = co_await CurrentCall->run();
-    m_Gateway.onCallEnded();
-  }
   m_OperationTimeout.cancel();
   m_Socket.shutdown(tcp::socket::shutdown_both, Ignored);
   m_Socket.close(Ignored);
 }
 
+/// Whether to read a request. The idle timeout and a planned stop only end the
+/// wait, so that a request that has arrived at the same moment is found.
 asio::awaitable<bool> CallerSession::waitForBytes() {
+  const base::TimePoint Deadline =
+      base::readMonotonic() + limits().m_IdleTimeout;
+  while (true) {
+    const base::TimePoint Now = base::readMonotonic();
+    const IdleStep Step = nextIdleStep({.m_HasBytes = hasBytes(),
+                                        .m_Closing = m_Gateway.isClosing(),
+                                        .m_Now = Now,
+                                        .m_Deadline = Deadline});
+    if (Step != IdleStep::Wait)
+      co_return Step == IdleStep::Read;
+    const auto EndWait = [this] {
+      boost::system::error_code Ignored; // The wait reports its own error.
+      m_Socket.cancel(Ignored);
+    };
+    m_OperationTimeout.set(Deadline - Now, EndWait);
+    const std::uint64_t IdleId = m_Gateway.addIdleConnection(EndWait);
+    boost::system::error_code Ignored; // What the socket holds decides.
+    co_await m_Socket.async_wait(
+        tcp::socket::wait_read,
+        asio::redirect_error(asio::use_awaitable, Ignored));
+    m_OperationTimeout.cancel();
+    m_Gateway.removeIdleConnection(IdleId);
+  }
+}
+
+/// Also true if the caller has closed its connection, which a read reports.
+bool CallerSession::hasBytes() {
   if (m_Buffer.size() > 0)
-    co_return true;
-  if (m_Gateway.isClosing())
+    return true;
+  char Byte = 0;
+  return ::recv(m_Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) >=
+             0 ||
+         (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+/// Returns whether the connection may be reused.
+asio::awaitable<bool> CallerSession::serveRequest() {
+  const Gateway::ActiveCall Counted(m_Gateway);
+  Parser RequestParser;
+  if (!co_await readRequest(RequestParser))
     co_return false;
-  setTimeout(limits().m_IdleTimeout);
-  const std::uint64_t IdleId = m_Gateway.addIdleConnection([this] {
-    boost::system::error_code Ignored; // The wait reports its own error.
-    m_Socket.close(Ignored);
-  });
-  boost::system::error_code Error;
-  co_await m_Socket.async_wait(
-      tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, Error));
-  m_Gateway.removeIdleConnection(IdleId);
-  co_return !Error;
+  ConnectionUse Use = ConnectionUse::Close;
+  if (RequestParser.keep_alive() && m_Buffer.size() > 0)
+    Use = ConnectionUse::KeepForNextRequest;
+  else if (RequestParser.keep_alive() && !m_Gateway.isStopping())
+    Use = ConnectionUse::Keep;
+  auto CurrentCall =
+      std::make_shared<Call>(m_Gateway, m_Socket, RequestParser.release(), Use);
+  co_return co_await CurrentCall->run();
 }
 
 asio::awaitable<bool> CallerSession::readRequest(Parser &RequestParser) {
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -97,7 +97,7 @@
     boost::system::error_code Error;
     tcp::socket Socket = co_await m_Acceptor.async_accept(
         asio::redirect_error(asio::use_awaitable, Error));
-    if (!Error && !m_Closing)
+    if (!Error)
       startSession(*this, std::move(Socket));
   }
 }
@@ -408,28 +408,43 @@
   finishWhenIdle();
 }
 
-std::uint64_t Gateway::addIdleConnection(std::function<void()> Close) {
-  m_IdleConnections[++m_LastIdleId] = std::move(Close);
+std::uint64_t Gateway::addIdleConnection(std::function<void()> EndWait) {
+  m_IdleConnections[++m_LastIdleId] = std::move(EndWait);
   return m_LastIdleId;
 }
 
-/// Closes the connections that wait for a request. Otherwise a caller could
-/// send a request on one that this instance can't finish any more.
+/// Closes the connections that wait for a request, unless one has arrived.
+/// Otherwise a caller could send a request on one that this instance can't
+/// finish any more.
 void Gateway::closeIdleConnections() {
   m_Closing = true;
-  boost::system::error_code Ignored; // It stops listening either way.
-  m_Acceptor.close(Ignored);
   m_Node.log().write("idle_connections_closed",
                      {{"count", m_IdleConnections.size()}});
-  for (const auto &[Id, Close] : std::exchange(m_IdleConnections, {}))
-    Close();
+  closeAcceptor();
+  for (const auto &[Id, EndWait] : m_IdleConnections)
+    EndWait();
+}
+
+/// Takes the connections that are established but not accepted yet, since
+/// their callers may have sent a request.
+void Gateway::closeAcceptor() {
+  boost::system::error_code Error;
+  m_Acceptor.non_blocking(true, Error);
+  while (!Error) {
+    tcp::socket Socket = m_Acceptor.accept(Error);
+    if (!Error)
+      startSession(*this, std::move(Socket));
+  }
+  m_Acceptor.close(Error); // It stops listening either way.
 }
 
 void Gateway::finishWhenIdle() {
   const base::Duration Elapsed = base::readMonotonic() - *m_StoppingSince;
+  // A call that has arrived is counted at the next check.
+  const bool Idle =
+      m_Closing && m_ActiveCalls == 0 && m_IdleConnections.empty();
   if (!m_Closing && Elapsed >= m_Options.m_StopDrainTime)
     closeIdleConnections();
-  const bool Idle = m_ActiveCalls == 0 && Elapsed >= m_Options.m_StopDrainTime;
   if (Idle ||
       Elapsed >= m_Node.settings().m_StopGrace - m_Options.m_StopMargin) {
     m_Node.finish();
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -135,14 +135,25 @@
   /// Whether the drain time of a planned stop is over, so that no more calls
   /// are accepted.
   bool isClosing() const { return m_Closing; }
-  /// Registers a connection that waits for a request, with \p Close to close
-  /// it. The result identifies it for removeIdleConnection().
-  std::uint64_t addIdleConnection(std::function<void()> Close);
+  /// Registers a connection that waits for a request, with \p EndWait to end
+  /// the wait. The result identifies it for removeIdleConnection().
+  std::uint64_t addIdleConnection(std::function<void()> EndWait);
   void removeIdleConnection(std::uint64_t Id) { m_IdleConnections.erase(Id); }
 
-  /// Count the active calls, which a planned stop waits for.
-  void onCallBegun() { ++m_ActiveCalls; }
-  void onCallEnded() { --m_ActiveCalls; }
+  /// Counts a call, from the first byte of its request to the end of its
+  /// response. A planned stop waits for it.
+  class ActiveCall {
+  public:
+    explicit ActiveCall(Gateway &Owner) : m_Gateway(Owner) {
+      ++m_Gateway.m_ActiveCalls;
+    }
+    ~ActiveCall() { --m_Gateway.m_ActiveCalls; }
+    ActiveCall(const ActiveCall &) = delete;
+    ActiveCall &operator=(const ActiveCall &) = delete;
+
+  private:
+    Gateway &m_Gateway;
+  };
 
 private:
   using LinkMessage = link::LinkMessage;
@@ -172,6 +183,7 @@
   void stop();
   void finishWhenIdle();
   void closeIdleConnections();
+  void closeAcceptor();
 
   GatewayOptions m_Options;
   const CallProtocol &m_Protocol;
--- a/tests/process/leaving.py
+++ b/tests/process/leaving.py
@@ -90,13 +90,14 @@
         if not holds:
             self.faults.append(text)
 
-    async def configure(self):
+    async def configure(self, version=1, limits=None):
         route = {"host": HOST, "timeout_ms": 3000, "attempts": 1, "retention_s": 60.0}
         routes = [dict(route, name=kind, path_prefix=f"/{kind}/", service=kind,
                        kind="streaming" if kind == "stream" else "unsafe") for kind in KINDS]
         services = [{"name": kind, **({"engine": {"slots": 8, "tokens_per_event": 1}} if kind == "stream" else {})}
                     for kind in KINDS]
-        body = json.dumps({"version": 1, "routes": routes, "services": services,
+        body = json.dumps({"version": version, "routes": routes, "services": services,
+                           **({"limits": limits} if limits else {}),
                            "tenants": [{"name": "org", "api_keys": [KEY], "rate_per_s": 0, "burst": 0}]}).encode()
         while not (answer := await http(self.fleet.of("control")[0].host, CONTROL_PORT, "POST",
                                         "/pistachiospool/configuration/replace", body=body)) or answer[0] != 200:
