A refusal of an earlier request is never taken for the answer

Callers were told "not run, try again" of requests that an endpoint was running, and such a request was sent to a second endpoint. It happened when a faulty endpoint wrote an earlier refusal (503 or 429 with Not-Executed, or 421) once more on a kept connection.

Cause: Call::readMatchingHead took any head that says "not executed" or "wrong endpoint" as the answer to its own request, whatever request the head named. A repeated 421 also made this instance forget the endpoint, and a repeated "full" or "leaving" changed its placement.

Now a head that names another request is skipped, whatever it says, and has no effect. A refusal that names no request is the answer only as the first response on its connection, where it can't belong to an earlier request. On a kept connection the outcome is then unknown: the connection is closed, a request that may be repeated goes on to another endpoint, any other is answered 502.

A copy that arrives between an answer and the next request did no harm before either: the check of an idle connection finds it and the connection is dropped. psp-entry opens a connection for each exchange, so it isn't affected.

--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -85,6 +85,8 @@
   boost::asio::awaitable<SendOutcome>
   receiveResponse(std::unique_ptr<EndpointChannel> Channel, SendRecord Record);
   void logSend(const SendRecord &Record, std::string_view Outcome);
+  bool isOwnResponse(const EndpointChannel &Channel,
+                     const ResponseMetadata &Metadata) const;
   boost::asio::awaitable<bool> readMatchingHead(EndpointChannel &Channel,
                                                 const SendRecord &Record,
                                                 ResponseMetadata &HeadMetadata);
--- a/src/gateway/CallProtocol.h
+++ b/src/gateway/CallProtocol.h
@@ -58,6 +58,9 @@
   bool m_Leaving = false;       ///< The endpoint takes no new work.
   bool m_Signed = false;        ///< Has the endpoint's signature.
   std::optional<base::Duration> m_IdleTimeout;
+
+  /// Whether the endpoint says that it has not executed the request.
+  bool isRefusal() const { return m_NotExecuted || m_WrongEndpoint; }
 };
 
 /// Why a call is rejected. Has a constructor and is not an aggregate, because
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -234,7 +234,7 @@
       .metrics()
       .histogram(metrics::names::FirstByteLatency)
       .record(Record.m_RespondedAt - Record.m_SentAt);
-  if (HeadMetadata.m_NotExecuted || HeadMetadata.m_WrongEndpoint) {
+  if (HeadMetadata.isRefusal()) {
     logSend(Record,
             HeadMetadata.m_WrongEndpoint ? "wrong_endpoint" : "not_run");
     --m_Executions;
@@ -352,6 +352,16 @@
   m_InactivityTimer.cancel();
 }
 
+/// Whether a response with \p Metadata on \p Channel is to this request. A
+/// refusal that names no request could be to an earlier one, unless it comes
+/// first on its connection.
+bool Call::isOwnResponse(const EndpointChannel &Channel,
+                         const ResponseMetadata &Metadata) const {
+  if (Metadata.m_RequestId.empty() && Metadata.isRefusal())
+    return Channel.isFirstResponse();
+  return Metadata.m_RequestId == m_Metadata.m_Id;
+}
+
 /// Reads responses until the one to this request; others are late copies.
 asio::awaitable<bool> Call::readMatchingHead(EndpointChannel &Channel,
                                              const SendRecord &Record,
@@ -361,14 +371,19 @@
     if (!co_await Channel.readHead())
       co_return false;
     HeadMetadata = m_Gateway.protocol().parseResponse(Channel.head());
-    if (HeadMetadata.m_Leaving)
-      m_Gateway.onEndpointLeaving(Record.m_Endpoint, Record.m_StartTime);
-    if (HeadMetadata.m_RequestId == m_Metadata.m_Id ||
-        HeadMetadata.m_NotExecuted || HeadMetadata.m_WrongEndpoint)
+    if (isOwnResponse(Channel, HeadMetadata)) {
+      if (HeadMetadata.m_Leaving)
+        m_Gateway.onEndpointLeaving(Record.m_Endpoint, Record.m_StartTime);
       co_return true;
-    m_Gateway.node().log().write(
-        "foreign_answer_skipped",
-        {{"request", m_Metadata.m_Id}, {"found", HeadMetadata.m_RequestId}});
+    }
+    m_Gateway.node().log().write("foreign_answer_skipped",
+                                 {{"request", m_Metadata.m_Id},
+                                  {"found", HeadMetadata.m_RequestId},
+                                  {"endpoint", Record.m_Endpoint},
+                                  {"status", Channel.head().result_int()}});
+    // Later responses on this connection can't be assigned either.
+    if (HeadMetadata.m_RequestId.empty() && HeadMetadata.isRefusal())
+      co_return false;
     std::size_t Skipped = 0;
     while (Skipped < MaxBufferedResponseBytes) {
       const std::size_t Count = (co_await Channel.readSome()).size();
--- a/src/gateway/EndpointChannel.cpp
+++ b/src/gateway/EndpointChannel.cpp
@@ -96,6 +96,7 @@
   co_await http::async_read_header(
       m_Socket, m_Buffer, *m_Parser,
       asio::redirect_error(asio::use_awaitable, Error));
+  m_HeadCount += Error ? 0 : 1;
   co_return !Error;
 }
 
--- a/src/gateway/EndpointChannel.h
+++ b/src/gateway/EndpointChannel.h
@@ -40,6 +40,9 @@
   /// or the head is invalid.
   boost::asio::awaitable<bool> readHead();
   const ResponseHead &head() const { return m_Parser->get().base(); }
+  /// Whether head() is of the first response on this connection, which can't
+  /// belong to an earlier request.
+  bool isFirstResponse() const { return m_HeadCount == 1; }
   ResponseFraming framing() const;
   std::optional<std::uint64_t> length() const;
   /// Reads the next bytes of the body; empty at its end or on failure.
@@ -74,6 +77,7 @@
   std::unique_ptr<Parser> m_Parser;
   std::vector<char> m_ReadBuffer;
   bool m_Used = false;
+  std::uint64_t m_HeadCount = 0; ///< Of responses.
   base::TimePoint m_IdleSince;
   base::Duration m_IdleTimeout{0};
 };
