Interim responses are not taken for the answer

A caller got status 103 as its answer when an endpoint sent an interim response that names the request before its answer. One that names no request counted as an answer to another request, and with four of them the call was given up as lost.

Cause: EndpointChannel::readHead returned every head alike. Now it reads past heads of class 1xx, eight at most, so that an endless series still ends.

Evidence: tests/process/repeated_refusal.py, whose endpoints send 100 and 103 before their answers. InterimResponseTest covers the bound.

--- a/src/gateway/EndpointChannel.cpp
+++ b/src/gateway/EndpointChannel.cpp
@@ -23,6 +23,8 @@
 
 constexpr std::size_t ReadBufferBytes = 8U << 10U;
 constexpr std::uint32_t MaxHeadBytes = 32U << 10U;
+/// Maximum interim responses before a response.
+constexpr int MaxInterimResponses = 8;
 /// A connection fails after this time with unacknowledged bytes, which allows
 /// for some retransmissions. The kernel of a slow endpoint still acknowledges
 /// at once.
@@ -89,15 +91,23 @@
 }
 
 asio::awaitable<bool> EndpointChannel::readHead() {
-  m_Parser = std::make_unique<Parser>();
-  m_Parser->header_limit(MaxHeadBytes);
-  m_Parser->body_limit(boost::none);
-  boost::system::error_code Error;
-  co_await http::async_read_header(
-      m_Socket, m_Buffer, *m_Parser,
-      asio::redirect_error(asio::use_awaitable, Error));
-  m_HeadCount += Error ? 0 : 1;
-  co_return !Error;
+  for (int Heads = 0; Heads <= MaxInterimResponses; ++Heads) {
+    m_Parser = std::make_unique<Parser>();
+    m_Parser->header_limit(MaxHeadBytes);
+    m_Parser->body_limit(boost::none);
+    boost::system::error_code Error;
+    co_await http::async_read_header(
+        m_Socket, m_Buffer, *m_Parser,
+        asio::redirect_error(asio::use_awaitable, Error));
+    if (Error)
+      co_return false;
+    if (http::to_status_class(head().result_int()) !=
+        http::status_class::informational) {
+      ++m_HeadCount;
+      co_return true;
+    }
+  }
+  co_return false;
 }
 
 ResponseFraming EndpointChannel::framing() const {
--- a/src/gateway/EndpointChannel.h
+++ b/src/gateway/EndpointChannel.h
@@ -36,8 +36,8 @@
   boost::asio::awaitable<bool> connect(base::Duration Timeout);
   /// Returns false if the request couldn't be written completely.
   boost::asio::awaitable<bool> send(Request &Out);
-  /// Reads the head of the next response. Returns false if the connection ends
-  /// or the head is invalid.
+  /// Reads the head of the next response, past any interim ones (1xx). Returns
+  /// false if the connection ends or the head is invalid.
   boost::asio::awaitable<bool> readHead();
   const ResponseHead &head() const { return m_Parser->get().base(); }
   /// Whether head() is of the first response on this connection, which can't
@@ -77,7 +77,7 @@
   std::unique_ptr<Parser> m_Parser;
   std::vector<char> m_ReadBuffer;
   bool m_Used = false;
-  std::uint64_t m_HeadCount = 0; ///< Of responses.
+  std::uint64_t m_HeadCount = 0; ///< Of responses, without interim ones.
   base::TimePoint m_IdleSince;
   base::Duration m_IdleTimeout{0};
 };
--- a/tests/fleet.cmake
+++ b/tests/fleet.cmake
@@ -13,6 +13,7 @@
 psp_test(rate_admission_test correctness/RateAdmissionTest.cpp USES psp_gateway)
 psp_test(endless_answer_test error/EndlessAnswerTest.cpp USES psp_gateway)
 psp_test(idle_step_test correctness/IdleStepTest.cpp USES psp_gateway)
+psp_test(interim_response_test error/InterimResponseTest.cpp USES psp_gateway)
 psp_test(leader_search_test correctness/LeaderSearchTest.cpp USES psp_gateway)
 psp_test(platform_dialect_test correctness/PlatformDialectTest.cpp USES psp_platform)
 psp_test(engine_placement_test correctness/EnginePlacementTest.cpp USES psp_turns)
--- a/tests/process/repeated_refusal.py
+++ b/tests/process/repeated_refusal.py
@@ -28,6 +28,7 @@
     "421 without a request": "421 Misdirected Request",
 }
 MOMENTS = ("after the answer", "when the next request has arrived", "before its answer")
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\nRequest-Id: %s\r\n\r\n"
 RUN_S = 0.02
 CALLS = 6  # Of each kind, refusal and moment, one after the other.
 ENDPOINTS = 2
@@ -36,7 +37,7 @@
 class Endpoint(leaving.Endpoint):
     def __init__(self, fleet, index):
         super().__init__(fleet, SERVICE, index)
-        self.refusal, self.moment = None, None
+        self.refusal, self.moment, self.interim = None, None, False
         self.runs, self.copies = [], 0
 
     async def _serve(self, reader, writer):
@@ -52,6 +53,8 @@
                 await asyncio.sleep(RUN_S)
                 if answered:
                     self._write_copy(writer, "before its answer")
+                if self.interim:
+                    writer.write(INTERIM % fields["request-id"].encode())
                 stream = head[0].split()[1].startswith("/streaming/")
                 writer.write(self._whole_answer(fields["request-id"], stream))
                 answered += 1
@@ -102,9 +105,9 @@
                    ("Deadline-Remaining", "3000")]
         return request, await http(self.fleet.of("entry")[0].host, CALLER_PORT, "POST", f"/{kind}/0", headers, b"in")
 
-    def set_fault(self, refusal, moment):
+    def set_fault(self, refusal, moment, interim=False):
         for endpoint in self.endpoints[SERVICE]:
-            endpoint.refusal, endpoint.moment = refusal, moment
+            endpoint.refusal, endpoint.moment, endpoint.interim = refusal, moment, interim
 
     async def known_again(self):
         """Until both endpoints answer; an endpoint may have been taken for another."""
@@ -145,6 +148,12 @@
             for moment in MOMENTS:
                 for kind in KINDS:
                     await self.check_kind(kind, name, moment)
+        await self.known_again()
+        self.set_fault(None, None, interim=True)
+        for kind in KINDS:
+            answers = [await self.send(kind) for _ in range(CALLS)]
+            self.expect(all(a and a[0] == 200 and a[3] for _, a in answers),
+                        f"{kind}: interim heads come before the answer: {[a and a[0] for _, a in answers]}")
         self.expect(not self.fleet.unexpected_ends(), "no process ended by itself")
 
 
