A stream that ends inside an event is not complete

What callers saw: an event stream whose endpoint ended it in the middle of an event came to its end as if it were complete, with the last chunk, and a kept turn was recorded with the events before it. Later turns could continue from it.

Cause: Call::forwardStream() only asked whether the response was complete in its framing. A response with neither length nor chunks is complete whenever its connection is closed, and a length or a last chunk doesn't show either that the last event is whole. EventStream knew; nothing asked it at the end.

Fix: a response that is complete in its framing and ends inside an event is marked as incomplete. It then takes the way of every stream that breaks off: the caller's connection is closed without the last chunk, the turn ends without its text, the endpoint counts as failed, and its connection is neither reused nor counted as intact when lost calls are reported. Lines that are comments no longer open an event, since a sound stream may end with one.

Not decided here: a stream without a framing that is closed between two events, or before its first, can't be told from one that is complete.

--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -465,6 +465,13 @@
     m_EventGapUs = static_cast<std::uint32_t>(
         (LastAt - *FirstAt).count() /
         static_cast<std::int64_t>(Events.eventCount() - 1));
+  if (Channel.isComplete() && !Events.isBetweenEvents()) {
+    m_Gateway.node().log().write("stream_ended_inside_event",
+                                 {{"request", m_Metadata.m_Id},
+                                  {"endpoint", m_CurrentEndpoint},
+                                  {"events", Events.eventCount()}});
+    Channel.markIncomplete();
+  }
   if (!Channel.isComplete()) {
     if (m_ResponseStarted)
       co_return SendOutcome::Broken;
--- a/src/gateway/EndpointChannel.cpp
+++ b/src/gateway/EndpointChannel.cpp
@@ -91,6 +91,7 @@
 }
 
 asio::awaitable<bool> EndpointChannel::readHead() {
+  m_MarkedIncomplete = false;
   for (int Heads = 0; Heads <= MaxInterimResponses; ++Heads) {
     m_Parser = std::make_unique<Parser>();
     m_Parser->header_limit(MaxHeadBytes);
--- a/src/gateway/EndpointChannel.h
+++ b/src/gateway/EndpointChannel.h
@@ -48,7 +48,12 @@
   /// Reads the next bytes of the body; empty at its end or on failure.
   boost::asio::awaitable<std::string_view> readSome();
   /// Whether the response has been read completely.
-  bool isComplete() const { return m_Parser && m_Parser->is_done(); }
+  bool isComplete() const {
+    return m_Parser && m_Parser->is_done() && !m_MarkedIncomplete;
+  }
+  /// Marks a response as incomplete whose body ends too early although its
+  /// framing is intact.
+  void markIncomplete() { m_MarkedIncomplete = true; }
 
   /// Closes the connection, which ends all pending operations on it.
   void abort();
@@ -76,6 +81,7 @@
   boost::beast::flat_buffer m_Buffer{MaxBufferedBytes};
   std::unique_ptr<Parser> m_Parser;
   std::vector<char> m_ReadBuffer;
+  bool m_MarkedIncomplete = false;
   bool m_Used = false;
   std::uint64_t m_HeadCount = 0; ///< Of responses, without interim ones.
   base::TimePoint m_IdleSince;
--- a/src/gateway/EventStream.cpp
+++ b/src/gateway/EventStream.cpp
@@ -31,6 +31,8 @@
 void EventStream::processLine(std::string_view Line) {
   if (Line.ends_with('\r'))
     Line.remove_suffix(1);
+  if (Line.starts_with(':')) // A comment.
+    return;
   if (!Line.empty()) {
     m_InEvent = true;
     if (Line.starts_with(DataPrefix)) {
--- a/tests/correctness/GatewayPartsTest.cpp
+++ b/tests/correctness/GatewayPartsTest.cpp
@@ -28,6 +28,35 @@
   EXPECT_EQ(Stream.text(), "one\ntwo\n");
 }
 
+TEST(EventStreamTest, KnowsAtEachByteWhetherAnEventIsIncomplete) {
+  for (const std::string_view Event :
+       {"id: 1\ndata: x\n\n", "id: 1\r\ndata: x\r\n\r\n"}) {
+    SCOPED_TRACE(Event);
+    EventStream Stream(true);
+    EXPECT_TRUE(Stream.isBetweenEvents());
+    for (std::size_t Index = 0; Index < 2 * Event.size(); ++Index) {
+      Stream.feed(Event.substr(Index % Event.size(), 1));
+      EXPECT_EQ(Stream.isBetweenEvents(), (Index + 1) % Event.size() == 0)
+          << "after byte " << Index;
+    }
+    EXPECT_EQ(Stream.text(), "x\nx\n");
+  }
+}
+
+TEST(EventStreamTest, ACommentIsNoPartOfAnEvent) {
+  EventStream Stream(true);
+  Stream.feed(": first\n");
+  EXPECT_TRUE(Stream.isBetweenEvents());
+  Stream.feed("data: x\n: inside\n");
+  EXPECT_FALSE(Stream.isBetweenEvents());
+  Stream.feed("\n: last");
+  EXPECT_FALSE(Stream.isBetweenEvents());
+  Stream.feed("\n");
+  EXPECT_TRUE(Stream.isBetweenEvents());
+  EXPECT_EQ(Stream.eventCount(), 1U);
+  EXPECT_EQ(Stream.text(), "x\n");
+}
+
 TEST(RouteTableTest, LongestPrefixIsSelected) {
   fleet::ServingConfiguration Configuration;
   for (const char *Prefix : {"/a/", "/a/b/"}) {
