A connection that waits goes by the idle limits that its caller can know

What callers saw: a connection was closed while they could still reuse it. After a configuration raised the idle limit, connections that already waited were closed by the earlier limit; after one lowered it, a wait that began next was ended by the new limit although its caller went by the earlier one.

Cause: a wait took the limit of the configuration in force as it began, and knew of no other.

IdleLimit keeps the limit in force and earlier, longer ones until they have passed since they were replaced. A wait looks up its deadline again when its timer ends, so that a raised limit holds at once; a lowered one takes effect when the earlier one would have ended every wait. The first configuration replaces the default without this, since no caller was told the default.

--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -71,10 +71,11 @@
 /// Whether to read a request. The idle timeout and a planned stop only end the
 /// wait, so that a request that has arrived at the same moment is found.
 asio::awaitable<bool> CallerSession::waitForBytes() {
-  const base::TimePoint Deadline =
-      base::readMonotonic() + limits().m_IdleTimeout;
+  const base::TimePoint WaitingSince = base::readMonotonic();
   while (true) {
     const base::TimePoint Now = base::readMonotonic();
+    const base::TimePoint Deadline =
+        m_Gateway.idleLimit().deadline(WaitingSince);
     const IdleStep Step = nextIdleStep({.m_HasBytes = hasBytes(),
                                         .m_Closing = m_Gateway.isClosing(),
                                         .m_Now = Now,
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -147,6 +147,12 @@
   try {
     m_RouteTable = std::make_shared<const fleet::RouteTable>(
         m_Codec.decode(Update.document()));
+    const base::Duration IdleTimeout =
+        m_RouteTable->configuration().m_Limits.m_IdleTimeout;
+    if (CurrentVersion == 0)
+      m_IdleLimit = IdleLimit(IdleTimeout);
+    else
+      m_IdleLimit.change(IdleTimeout, base::readMonotonic());
     m_Node.metrics()
         .gauge(metrics::names::ConfigurationVersion)
         .set(static_cast<std::int64_t>(Update.version()));
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -10,6 +10,7 @@
 #include "gateway/CallProtocol.h"
 #include "gateway/EndpointChannel.h"
 #include "gateway/HeldRequestTable.h"
+#include "gateway/IdleLimit.h"
 #include "gateway/LeaderSearch.h"
 #include "gateway/RateShares.h"
 #include "gateway/ReachabilityProbe.h"
@@ -139,6 +140,7 @@
   /// the wait. The result identifies it for removeIdleConnection().
   std::uint64_t addIdleConnection(std::function<void()> EndWait);
   void removeIdleConnection(std::uint64_t Id) { m_IdleConnections.erase(Id); }
+  const IdleLimit &idleLimit() const { return m_IdleLimit; }
 
   /// Counts a call, from the first byte of its request to the end of its
   /// response. A planned stop waits for it.
@@ -216,6 +218,7 @@
   std::optional<base::TimePoint> m_StoppingSince;
   std::uint32_t m_ActiveCalls = 0;
   bool m_Closing = false;
+  IdleLimit m_IdleLimit{fleet::CallerLimits{}.m_IdleTimeout};
   std::uint64_t m_LastIdleId = 0;
   std::map<std::uint64_t, std::function<void()>> m_IdleConnections;
   bool m_ReportedReady = false;
--- a/tests/process/idle_connections.py
+++ b/tests/process/idle_connections.py
@@ -2,12 +2,12 @@
 
     python3 tests/process/idle_connections.py [SEED]
 
-Real processes on loopback. Callers reuse kept connections around the idle limit
-and around a planned stop. Most requests are sent while the instance is
-suspended: they have all arrived on open connections when it goes on and finds
-its timers expired, so that none of them can have crossed the end of its
-connection. The other requests are sent while the limit that callers go by still
-holds. Each needs an answer.
+Real processes on loopback. Callers reuse kept connections around the idle limit,
+around configurations that raise and lower it, and around a planned stop. Most
+requests are sent while the instance is suspended: they have all arrived on open
+connections when it goes on and finds its timers expired, so that none of them
+can have crossed the end of its connection. The other requests are sent while
+the limit that callers go by still holds. Each needs an answer.
 """
 
 import asyncio
@@ -19,7 +19,7 @@
 import leaving
 from soak_fleet import CALLER_PORT, now, read_answer
 
-LIMIT_S, LONG_S = 1.0, 15.0
+LIMIT_S, RAISED_S, LONG_S = 1.0, 3.0, 15.0
 REUSED_UP_TO = 0.8  # Of the limit, by callers.
 DRAIN_S = 3.0  # A stopping instance closes idle connections after this time.
 SLACK_S = 1.0
@@ -151,6 +151,24 @@
         await asyncio.sleep(LIMIT_S + SLACK_S)
         self.expect(all(c.ended() for c in connections), f"{text}: idle connections are closed")
 
+    async def check_raised(self):
+        connections = await self.kept(SOME)
+        await self.limit(RAISED_S)
+        await self.check_relied_on(connections, LIMIT_S * 1.1, RAISED_S * REUSED_UP_TO, now() + RAISED_S,
+                                   "raised limit")
+
+    async def check_lowered(self):
+        before = await self.kept(SOME)
+        lowered_at = await self.limit(LIMIT_S)
+        after = await self.kept(SOME)
+        until = lowered_at + RAISED_S * REUSED_UP_TO
+        await asyncio.gather(
+            self.check_relied_on(before, LIMIT_S * 1.1, RAISED_S * REUSED_UP_TO, until, "lowered limit"),
+            self.check_relied_on(after, LIMIT_S * 1.1, RAISED_S * REUSED_UP_TO, until,
+                                 "lowered limit, waits that began after it"))
+        await asyncio.sleep(lowered_at + RAISED_S + SLACK_S - now())
+        await self.check_closed("lowered limit, once the earlier one has passed")
+
     async def check_stop(self, instance):
         node = self.fleet.of("entry")[instance]
         idle, whole, pipelined, begun = [await self.kept(count, instance) for count in (SOME, MANY, SOME, SOME)]
@@ -183,6 +201,8 @@
         await self.check_closed("idle limit")
         await self.check_relied_on(await self.kept(MANY), 0, LIMIT_S * REUSED_UP_TO, now() + LIMIT_S, "idle limit")
         await self.check_expired_meanwhile()
+        await self.check_raised()
+        await self.check_lowered()
         await self.limit(LONG_S)
         for instance in (0, 1):
             await self.check_stop(instance)
