An odd announcement is refused instead of replacing that of an endpoint

An announcement with numbers too large, a port out of range or an empty or huge name was accepted. A seq or born near 2^64 under the id of an endpoint made all its later announcements count as older ones, at gateways until they restart; slots were cut to 32 bits or counted as four thousand million; calls were tried at addresses that can't be connected to.

Cause: nothing checked an announcement beyond the types of its fields. Now fleet::checkAnnouncement() bounds names to 256 bytes, requires IPV4:PORT with a port of 1 to 65535, at most 65536 slots, a born no later than the node's clock plus five minutes (clocks differ, and may jump), and a seq of at most one announcement for each millisecond since born. A control node also refuses a service that isn't configured for an endpoint whose service is. An odd announcement is answered 400 with a short reason, logged as call_refused, and changes nothing. A control node whose clock is far behind refuses newly started endpoints; they announce themselves to the next node then.

Zero slots are still accepted: placement counts them as one.

Evidence: tests/process/odd_announcements.py and OddAnnouncementTest.

--- a/src/coordinator/Coordinator.h
+++ b/src/coordinator/Coordinator.h
@@ -91,6 +91,7 @@
 
   // Calls over HTTP.
   boost::asio::awaitable<web::Response> onCall(const web::Request &Received);
+  void checkService(const fleet::EndpointState &Announced) const;
   ControlAnswer announce(const AnnounceCall &Call);
   ControlAnswer leave(const LeaveCall &Call);
   boost::asio::awaitable<ControlAnswer>
--- a/src/coordinator/CoordinatorCalls.cpp
+++ b/src/coordinator/CoordinatorCalls.cpp
@@ -1,6 +1,7 @@
 #include "coordinator/Coordinator.h"
 
 #include "base/Error.h"
+#include "fleet/AnnouncementCheck.h"
 #include "metrics/Names.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -20,6 +21,7 @@
 /// Interval in which announcements are forwarded to other control nodes, as one
 /// batch.
 constexpr base::Duration HeartbeatBatchInterval = base::milliseconds(250);
+constexpr std::uint64_t MicrosecondsPerMillisecond = 1000;
 
 } // namespace
 
@@ -69,7 +71,23 @@
   co_return m_Protocol.encode(Answer);
 }
 
+/// Rejects a service that is not configured from an endpoint whose service is,
+/// since no endpoint changes its service.
+void Coordinator::checkService(const fleet::EndpointState &Announced) const {
+  const auto &Services = m_Configuration.m_Services;
+  const fleet::EndpointState *Known = m_Endpoints.find(Announced.id());
+  if (Known && Services.contains(Known->service()) &&
+      !Services.contains(Announced.service()))
+    throw base::UserError(ErrorKind::BadRequest,
+                          "announcement: expected the endpoint's service " +
+                              Known->service() +
+                              ", found one that is not configured");
+}
+
 ControlAnswer Coordinator::announce(const AnnounceCall &Call) {
+  fleet::checkAnnouncement(Call.m_State,
+                           readClocks().m_Wall / MicrosecondsPerMillisecond);
+  checkService(Call.m_State);
   if (m_Node.isStopping() || !canReachEntryInstances())
     return FailureAnswer(
         ErrorKind::QuorumUnavailable,
--- a/tests/error/OddAnnouncementTest.cpp
+++ b/tests/error/OddAnnouncementTest.cpp
@@ -2,20 +2,26 @@
 // rejected with a short reason, and changes nothing.
 
 #include "base/Error.h"
+#include "fleet/AnnouncementCheck.h"
 #include "platform/ControlDialect.h"
 
 #include <gtest/gtest.h>
 
 #include <cstdlib>
 #include <functional>
+#include <limits>
 
 namespace psp::platform {
 namespace {
 
 namespace http = boost::beast::http;
 using base::ErrorKind;
+using fleet::checkAnnouncement;
+using messages::fleet::EndpointState;
 
+constexpr std::uint64_t NowMs = 1'800'000'000'000;
 constexpr std::size_t MaxReasonBytes = 400;
+constexpr std::uint64_t MaxNumber = std::numeric_limits<std::uint64_t>::max();
 
 web::Request announcement(const std::string &Body,
                           const std::string &Id = "i-7") {
@@ -50,7 +56,10 @@
 }
 
 std::string reasonForBody(const std::string &Body) {
-  return reasonOf([&] { ControlDialect().decode(announcement(Body)); });
+  return reasonOf([&] {
+    const auto Call = ControlDialect().decode(announcement(Body));
+    checkAnnouncement(std::get<coordinator::AnnounceCall>(Call).m_State, NowMs);
+  });
 }
 
 std::string nested(std::size_t Levels) {
@@ -74,15 +83,77 @@
     }
 }
 
+TEST(OddAnnouncementTest, NumbersAreNotCutAndNotTooLarge) {
+  EXPECT_EQ(reasonForBody(bodyWith("", "")), "");
+  for (const char *Value :
+       {"-1", "1.5", "4294967296", "4294967308", "18446744073709551615",
+        "18446744073709551616", "1e400", "70000", "true", "null", "\"12\""})
+    EXPECT_NE(reasonForBody(bodyWith("slots", Value)), "") << Value;
+  for (const char *Value : {"-1", "1e18", "18446744073709551615",
+                            "9223372036854775807", "4294967296"})
+    EXPECT_NE(reasonForBody(bodyWith("seq", Value)), "") << Value;
+  for (const char *Value :
+       {"-1", "1e18", "18446744073709551615", "1800000400000"})
+    EXPECT_NE(reasonForBody(bodyWith("born", Value)), "") << Value;
+}
+
 TEST(OddAnnouncementTest, ReasonsAreShort) {
   const std::string Long = "\"" + std::string(60'000, 'x') + "\"";
-  for (const char *Field : {"slots", "seq", "born", "state"}) {
+  for (const char *Field :
+       {"service", "address", "zone", "slots", "seq", "born", "state"}) {
     const std::string Reason = reasonForBody(bodyWith(Field, Long));
     EXPECT_NE(Reason, "") << Field;
     EXPECT_LT(Reason.size(), MaxReasonBytes) << Field;
+    EXPECT_NE(reasonForBody(bodyWith(Field, "\"\"")), "") << Field;
   }
   EXPECT_NE(reasonForBody(bodyWith("service", "\"\xff\xfe\"")), "");
 }
 
+TEST(OddAnnouncementTest, AddressIsIpv4WithAPort) {
+  for (const char *Address :
+       {"10.0.0.9", "10.0.0.9:", "10.0.0.9:0", "10.0.0.9:65536",
+        "10.0.0.9:4294967376", "10.0.0.9:-1", "10.0.0.9:80x", "10.0.0.256:80",
+        "10.0.0:80", ":80", "[::1]:80", "host:80", "0.0.0.0:80", "10.0.0.9:8 0",
+        "10.0.0.9:99999999999999999999"})
+    EXPECT_NE(
+        reasonForBody(bodyWith("address", std::string("\"") + Address + "\"")),
+        "")
+        << Address;
+}
+
+TEST(OddAnnouncementTest, IdFitsIntoAHeader) {
+  const auto ReasonForId = [](const std::string &Id) {
+    return reasonOf([&] {
+      const auto Call =
+          ControlDialect().decode(announcement(bodyWith("", ""), Id));
+      checkAnnouncement(std::get<coordinator::AnnounceCall>(Call).m_State,
+                        NowMs);
+    });
+  };
+  EXPECT_EQ(ReasonForId("i-7f3a91c2"), "");
+  for (const std::string &Id :
+       {std::string(), std::string(300, 'i'), std::string("i\r\nX: y"),
+        std::string("i\xc3\xa4")})
+    EXPECT_NE(ReasonForId(Id), "") << Id;
+}
+
+TEST(OddAnnouncementTest, UsualAnnouncementsAreAcceptedWhateverTheClocks) {
+  EndpointState State;
+  State.set_id("i-7");
+  State.set_service("m");
+  State.set_address("10.0.0.9:65535");
+  State.set_data_centre("z");
+  const auto Accepts = [&](std::uint64_t Born, std::uint64_t Sequence) {
+    State.set_born(Born);
+    State.set_sequence(Sequence);
+    return reasonOf([&] { checkAnnouncement(State, NowMs); }).empty();
+  };
+  EXPECT_TRUE(Accepts(0, 0)) << "without a start, and with no slots";
+  EXPECT_TRUE(Accepts(NowMs + 60'000, 20)) << "its clock is ahead";
+  EXPECT_TRUE(Accepts(NowMs - 86'400'000, 86'400)) << "it has run for a day";
+  EXPECT_FALSE(Accepts(NowMs, MaxNumber));
+  EXPECT_FALSE(Accepts(MaxNumber, 1));
+}
+
 } // namespace
 } // namespace psp::platform
