Announcements may be numbered by the wall time

An announcement was refused if its number was above one for each millisecond since the endpoint's start. Nothing says that endpoints count by one: one that numbers its announcements by its clock would never have been used.

The bound is now the wall time in nanoseconds, which still refuses the numbers near 2^63 and 2^64 that would make all later announcements count as older.

--- a/src/fleet/AnnouncementCheck.cpp
+++ b/src/fleet/AnnouncementCheck.cpp
@@ -17,8 +17,7 @@
 constexpr std::uint32_t MaxSlots = 65536;
 /// Difference between the wall clocks of two machines that is allowed for.
 constexpr std::uint64_t MaxClockDifferenceMs = 300'000;
-/// Upper bound on the rate of announcements of one endpoint.
-constexpr std::uint64_t MaxAnnouncementsPerMs = 1;
+constexpr std::uint64_t NanosecondsPerMs = 1'000'000;
 constexpr std::size_t Ipv4Parts = 4;
 
 [[noreturn]] void reject(const std::string &Message) {
@@ -87,12 +86,11 @@
   if (Announced.born() > LatestMs)
     reject("expected a start in the past as born, found " +
            std::to_string(Announced.born()));
-  const std::uint64_t MaxSequence =
-      (LatestMs - Announced.born()) * MaxAnnouncementsPerMs;
+  // Some endpoints number their announcements by the wall time.
+  const std::uint64_t MaxSequence = LatestMs * NanosecondsPerMs;
   if (Announced.sequence() > MaxSequence)
     reject("expected at most " + std::to_string(MaxSequence) +
-           " as seq since its start, found " +
-           std::to_string(Announced.sequence()));
+           " as seq, found " + std::to_string(Announced.sequence()));
 }
 
 } // namespace psp::fleet
