An exception in a coroutine is reported, and a call that throws answered

What callers saw: a call whose handling threw ended without an answer, and an operator found no line about it. A planned stop then waited for the lost call until just before the instance would have been killed.

web::spawn() starts a coroutine under a name and reports an exception that ends it; each node writes it as event=coroutine_failed, the operators' server of the older programs through glog. A call that throws is logged as event=call_failed, answered as an internal error if the caller has no byte of a response, and its connection is closed. The request's metadata is parsed where that holds too. The endpoint that a call was sent to is no longer counted as busy after an exception, and a probe of a leader no longer as pending.

The four accept loops are one now, acceptConnections(). It logs an exception, pauses and goes on: the exception concerns one connection, and ending the process would cost every call in flight on the others. It also pauses after an error of accept, as only the operators' server did.

Evidence: throwing_call_test, built on the code before:

Value of: Answer.starts_with("HTTP/1.1 500 ") Actual: false Expected: (Answer.find("Connection: close")) != npos Expected: (readMonotonic() - StoppedAt) < (StopGrace / 2), actual: 7303924us vs 4000000us

What remains: an exception between LeaderSearch's search and its finishSearch() would leave the search unfinished; one in a link's coroutine leaves the link to its inactivity timeout, as before, but is now logged.

--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -2,9 +2,7 @@
 
 #include "base/Hash.h"
 #include "metrics/Names.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "web/Spawn.h"
 
 #include <algorithm>
 #include <utility>
@@ -123,10 +121,9 @@
       if (m_Endpoints.merge(Endpoint, false, Now))
         broadcastEndpoint(*m_Endpoints.find(Endpoint.id()));
   } else if (Message.has_request()) {
-    asio::co_spawn(
-        m_Node.io(),
-        serveRequest(From.name(), std::move(*Message.mutable_request())),
-        asio::detached);
+    web::spawn(
+        m_Node.io().get_executor(), "serve_request",
+        serveRequest(From.name(), std::move(*Message.mutable_request())));
   } else if (Message.has_reply()) {
     m_ForwardedRequests.onReply(Message.reply());
   } else if (Message.has_crashes()) {
--- a/src/coordinator/CoordinatorCalls.cpp
+++ b/src/coordinator/CoordinatorCalls.cpp
@@ -3,9 +3,7 @@
 #include "base/Error.h"
 #include "fleet/AnnouncementCheck.h"
 #include "metrics/Names.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "web/Spawn.h"
 
 #include <algorithm>
 
@@ -205,8 +203,8 @@
   auto End = std::make_shared<link::Waiter>(m_Node.io());
   for (std::uint32_t Group = 0; Group < Groups; ++Group) {
     ++Shared->m_Unanswered;
-    asio::co_spawn(
-        m_Node.io(),
+    web::spawn(
+        m_Node.io().get_executor(), "retire_node",
         [](Coordinator &Self, std::uint32_t Number, std::string Target,
            std::shared_ptr<Outcome> Result,
            std::shared_ptr<link::Waiter> Finished) -> asio::awaitable<void> {
@@ -217,8 +215,7 @@
           Result->m_Retired = Result->m_Retired && Received.done();
           if (--Result->m_Unanswered == 0 || !Result->m_Retired)
             Finished->fire();
-        }(*this, Group, Node, Shared, End),
-        asio::detached);
+        }(*this, Group, Node, Shared, End));
   }
   const bool Replied = co_await End->wait(m_Options.m_ForwardTimeout);
   co_return Groups > 0 && Replied && Shared->m_Retired;
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -5,8 +5,8 @@
 #include "gateway/RateAdmission.h"
 #include "gateway/RetryTime.h"
 #include "metrics/Names.h"
+#include "web/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/write.hpp>
@@ -42,13 +42,18 @@
            ConnectionUse Use)
     : m_Gateway(Owner), m_CallerSocket(Caller), m_Request(std::move(Received)),
       m_Use(Use), m_KeepAlive(Use != ConnectionUse::Close),
-      m_Metadata(Owner.protocol().parseCall(m_Request)),
+
       m_RouteTable(Owner.routeTable()), m_ArrivedAt(base::readMonotonic()),
       m_Deadline(m_ArrivedAt), m_DeadlineTimer(Owner.io()),
       m_InactivityTimer(Owner.io()) {}
 
 asio::awaitable<bool> Call::run() {
-  co_await handle();
+  if (const auto Failure = co_await web::catchFailure(handle())) {
+    const auto Unanswered = co_await web::catchFailure(answerFailure(Failure));
+    if (Unanswered)
+      web::reportFailure(m_Gateway.io().get_executor(), "answer_failed_call",
+                         Unanswered);
+  }
   m_Finished = true;
   metrics::Registry &Metrics = m_Gateway.node().metrics();
   Metrics
@@ -71,7 +76,20 @@
   co_return m_KeepAlive && !m_CallerDisconnected;
 }
 
+/// Answers a call whose handling has thrown, if the caller has no byte of a
+/// response, and closes the connection.
+asio::awaitable<void> Call::answerFailure(std::exception_ptr Failure) {
+  m_KeepAlive = false;
+  m_Gateway.node().log().write("call_failed",
+                               {{"request", m_Metadata.m_Id},
+                                {"reason", web::describeException(Failure)}});
+  if (!m_ResponseStarted)
+    co_await refuse(
+        Refusal(ErrorKind::Internal, "the call could not be handled"));
+}
+
 asio::awaitable<void> Call::handle() {
+  m_Metadata = m_Gateway.protocol().parseCall(m_Request);
   if (m_Gateway.isClosing()) {
     closeIfIdle();
     co_await refuse(Refusal(ErrorKind::Stopping, "this instance is stopping",
@@ -335,6 +353,7 @@
   Response ErrorResponse = m_Gateway.protocol().makeRefusal(m_Metadata, Reason);
   ErrorResponse.keep_alive(m_KeepAlive);
   ErrorResponse.prepare_payload();
+  m_ResponseStarted = true;
   boost::system::error_code Error;
   co_await http::async_write(m_CallerSocket, ErrorResponse,
                              asio::redirect_error(asio::use_awaitable, Error));
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -16,6 +16,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <exception>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -68,6 +69,7 @@
 
   // Checks, in Call.cpp.
   boost::asio::awaitable<void> handle();
+  boost::asio::awaitable<void> answerFailure(std::exception_ptr Failure);
   std::optional<Refusal> checkRoute();
   boost::asio::awaitable<bool> takeRateToken();
   boost::asio::awaitable<std::optional<std::uint32_t>>
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -3,9 +3,8 @@
 #include "gateway/Gateway.h"
 #include "gateway/RetryTime.h"
 #include "metrics/Names.h"
+#include "web/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -106,7 +105,13 @@
     m_CurrentEndpoint = Id;
     m_CurrentAddress = Endpoint.address();
     m_ConnectionLost = false;
-    const SendOutcome Outcome = co_await sendTo(Endpoint);
+    SendOutcome Outcome = SendOutcome::Ended;
+    try {
+      Outcome = co_await sendTo(Endpoint);
+    } catch (...) {
+      Placement.onDone(Id, base::Duration(0), base::readMonotonic());
+      throw;
+    }
     const bool Success = Outcome == SendOutcome::Answered;
     Placement.onDone(
         Id, Success ? base::readMonotonic() - Start : base::Duration(0),
@@ -314,8 +319,8 @@
       return;
     }
     Placement.onUnreachable(Endpoint, base::readMonotonic());
-    asio::co_spawn(Self->m_Gateway.io(), Self->probeSilentEndpoint(Endpoint),
-                   asio::detached);
+    web::spawn(Self->m_Gateway.io().get_executor(), "probe_silent_endpoint",
+               Self->probeSilentEndpoint(Endpoint));
   });
 }
 
--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -4,9 +4,8 @@
 #include "gateway/Gateway.h"
 #include "gateway/IdleStep.h"
 #include "web/OperationTimeout.h"
+#include "web/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -188,8 +187,8 @@
 
 void startSession(Gateway &Owner, tcp::socket Socket) {
   auto Session = std::make_shared<CallerSession>(Owner, std::move(Socket));
-  asio::co_spawn(
-      Owner.io(), [Session] { return Session->run(); }, asio::detached);
+  web::spawn(Owner.io().get_executor(), "caller_session",
+             [Session] { return Session->run(); });
 }
 
 } // namespace psp::gateway
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -6,9 +6,9 @@
 #include "gateway/CallerSession.h"
 #include "gateway/RetryTime.h"
 #include "metrics/Names.h"
+#include "web/AcceptLoop.h"
+#include "web/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -76,7 +76,11 @@
   m_Acceptor.set_option(asio::socket_base::reuse_address(true));
   m_Acceptor.bind(ListenAddress);
   m_Acceptor.listen();
-  asio::co_spawn(io(), accept(), asio::detached);
+  web::spawn(io().get_executor(), "accept_callers",
+             web::acceptConnections(m_Acceptor, "accept_callers",
+                                    [this](tcp::socket Socket) {
+                                      startSession(*this, std::move(Socket));
+                                    }));
   m_ReadinessServer = std::make_unique<web::HttpServer>(
       io(),
       web::HttpServerOptions{.m_Address = Settings.m_ReadinessAddress.value()},
@@ -92,16 +96,6 @@
   m_Node.run();
 }
 
-asio::awaitable<void> Gateway::accept() {
-  while (m_Acceptor.is_open()) {
-    boost::system::error_code Error;
-    tcp::socket Socket = co_await m_Acceptor.async_accept(
-        asio::redirect_error(asio::use_awaitable, Error));
-    if (!Error)
-      startSession(*this, std::move(Socket));
-  }
-}
-
 void Gateway::onMessage(LinkMessage &Message) {
   if (Message.has_reply())
     m_PendingRequests.onReply(Message.reply());
@@ -181,9 +175,8 @@
 
 void Gateway::reportCrashAsync(messages::fleet::EndpointCrash Crash,
                                std::string Address, base::TimePoint SentAt) {
-  asio::co_spawn(io(),
-                 reportCrash(std::move(Crash), std::move(Address), SentAt),
-                 asio::detached);
+  web::spawn(io().get_executor(), "report_crash",
+             reportCrash(std::move(Crash), std::move(Address), SentAt));
 }
 
 asio::awaitable<void> Gateway::reportCrash(messages::fleet::EndpointCrash Crash,
@@ -338,7 +331,8 @@
 }
 
 void Gateway::recordTurnEndAsync(EndTurn End) {
-  asio::co_spawn(io(), recordTurnEnd(std::move(End)), asio::detached);
+  web::spawn(io().get_executor(), "record_turn_end",
+             recordTurnEnd(std::move(End)));
 }
 
 asio::awaitable<void> Gateway::recordTurnEnd(EndTurn End) {
@@ -375,17 +369,19 @@
       base::readMonotonic() - m_LeaderRepliedAt < probeInterval())
     return;
   m_ProbePending = true;
+  struct PendingProbe {
+    bool &m_Pending;
+    ~PendingProbe() { m_Pending = false; }
+  };
   messages::fleet::Request LeaderRequest;
   LeaderRequest.mutable_retire(); // Names no node, so it changes nothing.
   LeaderRequest.set_group(m_NextProbedGroup++ % m_HistoryGroupCount);
-  asio::co_spawn(
-      io(),
-      [this, LeaderRequest]() -> asio::awaitable<void> {
-        co_await requestFromLeader(NODE_HISTORY, LeaderRequest,
-                                   probeInterval());
-        m_ProbePending = false;
-      },
-      asio::detached);
+  web::spawn(io().get_executor(), "probe_leader",
+             [this, LeaderRequest]() -> asio::awaitable<void> {
+               const PendingProbe Pending{m_ProbePending};
+               co_await requestFromLeader(NODE_HISTORY, LeaderRequest,
+                                          probeInterval());
+             });
 }
 
 void Gateway::runMaintenance() {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -164,7 +164,6 @@
   void onMessage(LinkMessage &Message);
   void onHeldRequests(const messages::fleet::HeldRequests &Update);
   void onConfiguration(const messages::fleet::ConfigurationUpdate &Update);
-  boost::asio::awaitable<void> accept();
   boost::asio::awaitable<void> recordTurnEnd(messages::fleet::EndTurn End);
   boost::asio::awaitable<void> reportCrash(messages::fleet::EndpointCrash Crash,
                                            std::string Address,
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -4,9 +4,7 @@
 #include "fleet/ProgramGroups.h"
 #include "metrics/Names.h"
 #include "node/MemoryUse.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "web/Spawn.h"
 
 #include <algorithm>
 #include <filesystem>
@@ -152,7 +150,8 @@
   if (Received.has_retire())
     reply(From, Received.id(), retirementReply(Number, Received.retire()));
   else if (Received.has_find())
-    asio::co_spawn(m_Node.io(), replyToFind(From, Received), asio::detached);
+    web::spawn(m_Node.io().get_executor(), "reply_to_find",
+               replyToFind(From, Received));
   else if (Received.has_begin())
     onBegin(From, Received);
   else if (Received.has_end())
@@ -174,8 +173,8 @@
     return;
   if (!Begin.previous().empty() &&
       !Group.m_State.ledger().hasTurn(Begin.organisation(), Begin.previous()))
-    asio::co_spawn(m_Node.io(), beginFromOtherGroup(From, Received),
-                   asio::detached);
+    web::spawn(m_Node.io().get_executor(), "begin_from_other_group",
+               beginFromOtherGroup(From, Received));
   else
     requestSlot(From, Received);
 }
--- a/src/history/HistoryTurnSearch.cpp
+++ b/src/history/HistoryTurnSearch.cpp
@@ -1,7 +1,6 @@
 #include "history/HistoryNode.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "web/Spawn.h"
 
 #include <utility>
 
@@ -80,23 +79,21 @@
     if (Number == Own)
       continue;
     ++Search->m_Unanswered;
-    asio::co_spawn(
-        m_Node.io(),
-        [](HistoryNode &Self, std::uint32_t Group,
-           messages::fleet::FindTurn Query,
-           std::shared_ptr<Progress> Shared) -> asio::awaitable<void> {
-          const auto Received =
-              co_await Self.queryGroup(Group, std::move(Query));
-          --Shared->m_Unanswered;
-          if (Received && Received->kind() == messages::fleet::REPLY_OK)
-            Shared->m_Located.m_Text = Received->text();
-          else if (!Received ||
-                   Received->kind() != messages::fleet::REPLY_NO_SUCH_TURN)
-            Shared->m_Located.m_Uncertain = true;
-          if (Shared->m_Located.m_Text || Shared->m_Unanswered == 0)
-            Shared->m_Finished.fire();
-        }(*this, Number, Wanted, Search),
-        asio::detached);
+    web::spawn(m_Node.io().get_executor(), "query_group",
+               [](HistoryNode &Self, std::uint32_t Group,
+                  messages::fleet::FindTurn Query,
+                  std::shared_ptr<Progress> Shared) -> asio::awaitable<void> {
+                 const auto Received =
+                     co_await Self.queryGroup(Group, std::move(Query));
+                 --Shared->m_Unanswered;
+                 if (Received && Received->kind() == messages::fleet::REPLY_OK)
+                   Shared->m_Located.m_Text = Received->text();
+                 else if (!Received || Received->kind() !=
+                                           messages::fleet::REPLY_NO_SUCH_TURN)
+                   Shared->m_Located.m_Uncertain = true;
+                 if (Shared->m_Located.m_Text || Shared->m_Unanswered == 0)
+                   Shared->m_Finished.fire();
+               }(*this, Number, Wanted, Search));
   }
   if (Search->m_Unanswered > 0)
     co_await Search->m_Finished.wait(2 * FindTimeout);
--- a/src/link/Link.cpp
+++ b/src/link/Link.cpp
@@ -1,9 +1,8 @@
 #include "link/Link.h"
 
 #include "base/Error.h"
+#include "web/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -35,11 +34,10 @@
   boost::system::error_code Ignored; // The option isn't essential.
   m_Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
   auto Self = shared_from_this();
-  asio::co_spawn(
-      m_Socket.get_executor(), [Self] { return Self->read(); }, asio::detached);
-  asio::co_spawn(
-      m_Socket.get_executor(), [Self] { return Self->watch(); },
-      asio::detached);
+  web::spawn(m_Socket.get_executor(), "link_read",
+             [Self] { return Self->read(); });
+  web::spawn(m_Socket.get_executor(), "link_watch",
+             [Self] { return Self->watch(); });
 }
 
 void Link::send(const LinkMessage &Message) {
@@ -61,9 +59,8 @@
     return;
   m_Writing = true;
   auto Self = shared_from_this();
-  asio::co_spawn(
-      m_Socket.get_executor(), [Self] { return Self->write(); },
-      asio::detached);
+  web::spawn(m_Socket.get_executor(), "link_write",
+             [Self] { return Self->write(); });
 }
 
 void Link::close(const std::string &Reason) {
--- a/src/link/LinkManager.cpp
+++ b/src/link/LinkManager.cpp
@@ -1,9 +1,9 @@
 #include "link/LinkManager.h"
 
+#include "web/AcceptLoop.h"
 #include "web/OperationTimeout.h"
+#include "web/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -35,7 +35,10 @@
   m_Acceptor.set_option(asio::socket_base::reuse_address(true));
   m_Acceptor.bind(Endpoint);
   m_Acceptor.listen();
-  asio::co_spawn(m_Io, accept(), asio::detached);
+  web::spawn(m_Io.get_executor(), "accept_nodes",
+             web::acceptConnections(
+                 m_Acceptor, "accept_nodes",
+                 [this](tcp::socket Socket) { open(std::move(Socket)); }));
 }
 
 void LinkManager::dial(const std::set<PeerAddress> &Addresses) {
@@ -48,7 +51,7 @@
     if (Address.m_Host == m_Self.host() && Address.m_Port == m_Self.port())
       continue;
     if (m_DialTargets.try_emplace(Address).second)
-      asio::co_spawn(m_Io, keepDialling(Address), asio::detached);
+      web::spawn(m_Io.get_executor(), "dial_node", keepDialling(Address));
   }
 }
 
@@ -72,16 +75,6 @@
   return Names;
 }
 
-asio::awaitable<void> LinkManager::accept() {
-  while (true) {
-    boost::system::error_code Error;
-    tcp::socket Socket = co_await m_Acceptor.async_accept(
-        asio::redirect_error(asio::use_awaitable, Error));
-    if (!Error)
-      open(std::move(Socket));
-  }
-}
-
 asio::awaitable<void> LinkManager::keepDialling(PeerAddress Address) {
   asio::steady_timer Timer(m_Io);
   while (m_DialTargets[Address].m_Wanted) {
--- a/src/link/LinkManager.h
+++ b/src/link/LinkManager.h
@@ -81,7 +81,6 @@
     std::vector<std::shared_ptr<Link>> m_Links;
   };
 
-  boost::asio::awaitable<void> accept();
   boost::asio::awaitable<void> keepDialling(PeerAddress Address);
   std::shared_ptr<Link> open(boost::asio::ip::tcp::socket Socket);
   void sendHello(const std::shared_ptr<Link> &Connection);
--- a/src/node/NodeRuntime.cpp
+++ b/src/node/NodeRuntime.cpp
@@ -1,6 +1,7 @@
 #include "node/NodeRuntime.h"
 
 #include "base/Error.h"
+#include "web/Spawn.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -45,7 +46,12 @@
                      onDisconnected(Peer, Reason);
                    }}),
       m_Signals(m_Io), m_SettingsTimer(m_Io), m_DirectoryTimer(m_Io),
-      m_StopTimer(m_Io) {}
+      m_StopTimer(m_Io) {
+  web::setFailureReporter(m_Io, [this](std::string_view Name,
+                                       const std::string &Reason) {
+    m_Log.write("coroutine_failed", {{"coroutine", Name}, {"reason", Reason}});
+  });
+}
 
 void NodeRuntime::start(const std::string &Member, Handlers Handle) {
   m_Handle = std::move(Handle);
--- a/src/operators/HttpConnector.cpp
+++ b/src/operators/HttpConnector.cpp
@@ -1,17 +1,18 @@
 #include "operators/HttpConnector.h"
 
 #include "base/Error.h"
+#include "logging/Logging.h"
+#include "web/AcceptLoop.h"
+#include "web/Spawn.h"
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <glog/logging.h>
 
 #include <atomic>
 #include <thread>
@@ -27,7 +28,6 @@
 using Response = http::response<http::string_body>;
 
 constexpr unsigned HttpVersion11 = 11;
-constexpr auto AcceptRetryDelay = std::chrono::milliseconds(100);
 
 Response makeResponse(http::status Status, const std::string &Type,
                       std::string Body) {
@@ -53,7 +53,17 @@
     m_Acceptor.bind(Local);
     m_Acceptor.listen();
     m_Port = m_Acceptor.local_endpoint().port();
-    asio::co_spawn(m_Context, accept(), asio::detached);
+    web::setFailureReporter(m_Context, [](std::string_view Name,
+                                          const std::string &Reason) {
+      LOG(ERROR) << logging::logLine(logging::Part::Operators,
+                                     "coroutine " + std::string(Name) +
+                                         " failed",
+                                     {{logging::Field::Name::Kind, Reason}});
+    });
+    web::spawn(m_Context.get_executor(), "accept_operators",
+               web::acceptConnections(
+                   m_Acceptor, "accept_operators",
+                   [this](tcp::socket Socket) { open(std::move(Socket)); }));
     m_Thread = std::thread([this] { m_Context.run(); });
   }
 
@@ -66,20 +76,10 @@
   std::uint16_t port() const { return m_Port; }
 
 private:
-  asio::awaitable<void> accept() {
-    for (;;) {
-      beast::error_code Error;
-      tcp::socket Socket = co_await m_Acceptor.async_accept(
-          asio::redirect_error(asio::use_awaitable, Error));
-      if (Error) {
-        // The process may be out of descriptors for a moment.
-        asio::steady_timer Timer(m_Context, AcceptRetryDelay);
-        co_await Timer.async_wait(asio::use_awaitable);
-      } else if (m_Connections < m_Options.m_MaxConnections) {
-        asio::co_spawn(m_Context, serve(beast::tcp_stream(std::move(Socket))),
-                       asio::detached);
-      }
-    }
+  void open(tcp::socket Socket) {
+    if (m_Connections < m_Options.m_MaxConnections)
+      web::spawn(m_Context.get_executor(), "operator_connection",
+                 serve(beast::tcp_stream(std::move(Socket))));
   }
 
   asio::awaitable<void> serve(beast::tcp_stream Stream) {
--- a/src/web/HttpServer.cpp
+++ b/src/web/HttpServer.cpp
@@ -1,9 +1,9 @@
 #include "web/HttpServer.h"
 
+#include "web/AcceptLoop.h"
 #include "web/OperationTimeout.h"
+#include "web/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -32,17 +32,11 @@
   m_Acceptor.set_option(asio::socket_base::reuse_address(true));
   m_Acceptor.bind(ListenAddress);
   m_Acceptor.listen();
-  asio::co_spawn(m_Io, accept(), asio::detached);
-}
-
-asio::awaitable<void> HttpServer::accept() {
-  while (true) {
-    boost::system::error_code Error;
-    tcp::socket Socket = co_await m_Acceptor.async_accept(
-        asio::redirect_error(asio::use_awaitable, Error));
-    if (!Error)
-      asio::co_spawn(m_Io, serve(std::move(Socket)), asio::detached);
-  }
+  spawn(
+      m_Io.get_executor(), "accept_http",
+      acceptConnections(m_Acceptor, "accept_http", [this](tcp::socket Socket) {
+        spawn(m_Io.get_executor(), "http_connection", serve(std::move(Socket)));
+      }));
 }
 
 asio::awaitable<void> HttpServer::serve(tcp::socket Socket) {
--- a/src/web/HttpServer.h
+++ b/src/web/HttpServer.h
@@ -41,7 +41,6 @@
   void start();
 
 private:
-  boost::asio::awaitable<void> accept();
   boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket Socket);
 
   boost::asio::io_context &m_Io;
