History nodes relay requests to a leader that the sender doesn't reach

What callers saw: all events of a retained turn had arrived, and the stream broke off without its end when the call's deadline passed, about 4 s later in the test. The turn was not recorded.

Cause: a history leader that entry instances don't reach, while its peers still follow it. No other node takes over, since the group is intact. The instance asked one node after the other until the deadline, and each of the others named the same leader. The replies themselves are handled as they should be: an end is answered with OK or "not the leader" only, the latter is tried again until the deadline, and so is silence.

Fix: a history node that isn't the leader sends the begin or the end of a turn, if it comes from an entry instance, on to the leader that it knows and is connected to, and returns the leader's reply with the leader's name. The entry instance remembers that name and not the relaying node. A relayed request is never relayed again, since it comes from a history node. Other requests are answered as before.

Evidence: tests/process/unrecorded_turn.py ends retained turns while history nodes are killed, frozen and silenced, at three moments each. With it: 10 of 10 in all nine cases, each with a next turn, the last after 0.92 s; 1 passed.

What did not fail before: leaders that are killed or frozen before, with and after the last event (10 of 10 streams whole within 1 s), and the end without any leader (0 of 10 look complete). Suspected, not traced: reports that free slots are lost with the links, until the slots expire.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -256,7 +256,10 @@
     const bool FromLeader =
         LeaderReply && LeaderReply->kind() != messages::fleet::REPLY_NOT_LEADER;
     if (FromLeader) {
-      Search.confirmLeader(Node, base::readMonotonic());
+      // Another node may have relayed the leader's reply.
+      Search.confirmLeader(
+          LeaderReply->leader().empty() ? Node : LeaderReply->leader(),
+          base::readMonotonic());
       if (Kind == NODE_HISTORY)
         m_LeaderRepliedAt = base::readMonotonic();
     } else {
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -30,6 +30,9 @@
 /// from its leader for this long deletes the group's data. An instance that is
 /// to become a member receives messages several times a second.
 constexpr base::Duration LeaveDelay = base::seconds(5);
+/// Timeout for the leader's reply to a relayed request. Shorter than the time
+/// that an entry instance waits for a reply.
+constexpr base::Duration RelayTimeout = base::milliseconds(240);
 
 } // namespace
 
@@ -100,7 +103,7 @@
   if (Message.has_group())
     m_Groups->onMessage(Message.group());
   else if (Message.has_request())
-    onRequest(From.name(), Message.request());
+    onRequest(From, Message.request());
   else if (Message.has_reply())
     onReply(Message.reply());
   else if (Message.has_reports())
@@ -134,16 +137,27 @@
   }
 }
 
-void HistoryNode::onRequest(const std::string &From, const Request &Received) {
+void HistoryNode::onRequest(const NodeState &Sender, const Request &Received) {
+  const std::string &From = Sender.name();
   if (Received.has_place()) {
     onSlotRequest(From, Received);
     return;
   }
   const std::uint32_t Number = Received.group();
   if (!isLeaderOf(Number)) {
+    const std::string Leader = leaderOf(Number);
+    // Entry instances only, so that no request is relayed twice.
+    const bool Relays = Sender.kind() == messages::fleet::NODE_ENTRY &&
+                        (Received.has_begin() || Received.has_end()) &&
+                        m_Node.links().isConnected(Leader);
+    if (Relays) {
+      asio::co_spawn(m_Node.io(), relayToLeader(From, Received, Leader),
+                     asio::detached);
+      return;
+    }
     Reply Rejection;
     Rejection.set_kind(messages::fleet::REPLY_NOT_LEADER);
-    Rejection.set_leader(leaderOf(Number));
+    Rejection.set_leader(Leader);
     reply(From, Received.id(), std::move(Rejection));
     return;
   }
@@ -158,6 +172,32 @@
     onEnd(From, Received);
 }
 
+/// Sends a request of the entry instance \p From on to \p Leader, which that
+/// instance may not reach.
+asio::awaitable<void> HistoryNode::relayToLeader(std::string From,
+                                                 Request Received,
+                                                 std::string Leader) {
+  const std::uint64_t Id = Received.id();
+  m_Node.log().write("request_relayed",
+                     {{"request", Received.has_begin() ? Received.begin().turn()
+                                                       : Received.end().turn()},
+                      {"from", From},
+                      {"number", Received.group()},
+                      {"leader", Leader}});
+  Received.set_id(OtherGroupIdBase + m_OutgoingRequests.nextId());
+  LinkMessage Message;
+  *Message.mutable_request() = Received;
+  m_Node.links().send(Leader, Message);
+  auto Outgoing = co_await m_OutgoingRequests.wait(Received.id(), RelayTimeout);
+  if (!Outgoing) {
+    Outgoing.emplace();
+    Outgoing->set_kind(messages::fleet::REPLY_NOT_LEADER);
+  } else if (Outgoing->kind() != messages::fleet::REPLY_NOT_LEADER) {
+    Outgoing->set_leader(Leader);
+  }
+  reply(From, Id, std::move(*Outgoing));
+}
+
 void HistoryNode::onBegin(const std::string &From, const Request &Received) {
   const auto &Begin = Received.begin();
   HostedGroup &Group = *m_Hosted.at(Received.group());
--- a/src/history/HistoryNode.h
+++ b/src/history/HistoryNode.h
@@ -87,7 +87,9 @@
 
   // Requests from entry instances and control nodes.
   void onMessage(const NodeState &From, LinkMessage &Message);
-  void onRequest(const std::string &From, const Request &Received);
+  void onRequest(const NodeState &Sender, const Request &Received);
+  boost::asio::awaitable<void> relayToLeader(std::string From, Request Received,
+                                             std::string Leader);
   void onBegin(const std::string &From, const Request &Received);
   void onEnd(const std::string &From, const Request &Received);
   void propose(const std::string &From, const Request &Received,
