A turn that ended without its text is not confirmed as retained

What callers would see: a stream that ends as complete, and a 404 for the next turn that names it. Seen in a unit test only.

Cause: the ledger counts the first end of a turn. If that one retains no text, as when another attempt under the same id broke off, a later end that does is ignored, yet the reply to it was OK. A request that joined the pending end of the same turn got that reply as well.

Fix: the reply to an end that retains its turn is OK only if the ledger has the turn.

A third case passed before: an end that is repeated after a lost reply is confirmed, charged once and retained once.

--- a/src/history/HistoryStateMachine.cpp
+++ b/src/history/HistoryStateMachine.cpp
@@ -46,6 +46,8 @@
     Answer.set_kind(messages::fleet::REPLY_NOT_LEADER);
   else if (Parsed.has_begin())
     Answer = makeBeginReply(Parsed.begin(), Pending);
+  else
+    Answer = makeEndReply(Parsed.end(), Pending);
   Answer.set_id(Pending.m_RequestId);
   m_Replies.push_back({.m_Node = Pending.m_Node, .m_Reply = std::move(Answer)});
 }
@@ -74,6 +76,15 @@
   return Answer;
 }
 
+/// Only the first end of a turn counts, and it may have retained no text.
+Reply HistoryStateMachine::makeEndReply(const messages::fleet::EndTurn &End,
+                                        const PendingCommand &Pending) const {
+  Reply Answer;
+  if (Pending.m_KeepsTurn && !m_Ledger.hasTurn(End.organisation(), End.turn()))
+    Answer.set_kind(messages::fleet::REPLY_REFUSED);
+  return Answer;
+}
+
 std::optional<std::string>
 HistoryStateMachine::chainText(const std::string &Organisation,
                                const std::string &Turn) const {
@@ -98,6 +109,7 @@
       continue;
     Pending.m_Node = Node;
     Pending.m_RequestId = Repeated.id();
+    Pending.m_KeepsTurn = Repeated.end().keep();
     return true;
   }
   return false;
@@ -114,7 +126,8 @@
                                             : Proposed.end().turn(),
                               .m_Service = Proposed.begin().service(),
                               .m_Endpoint = Endpoint,
-                              .m_IsBegin = Proposed.has_begin()};
+                              .m_IsBegin = Proposed.has_begin(),
+                              .m_KeepsTurn = Proposed.end().keep()};
 }
 
 void HistoryStateMachine::failAll(const std::string &Leader) {
--- a/src/history/HistoryStateMachine.h
+++ b/src/history/HistoryStateMachine.h
@@ -87,10 +87,13 @@
     std::string m_Service;
     std::string m_Endpoint;
     bool m_IsBegin = false;
+    bool m_KeepsTurn = false; ///< The request ends a turn that is retained.
   };
 
   Reply makeBeginReply(const messages::fleet::BeginTurn &Begin,
                        const PendingCommand &Pending);
+  Reply makeEndReply(const messages::fleet::EndTurn &End,
+                     const PendingCommand &Pending) const;
 
   const EntrySource &m_Entries;
   turns::TurnLedger m_Ledger;
--- a/tests/correctness/HistoryPartsTest.cpp
+++ b/tests/correctness/HistoryPartsTest.cpp
@@ -1,9 +1,11 @@
 // The small components of a history node: the group of a program, the leader of
-// a group, the pending slot requests, and the remaining capacity.
+// a group, the pending slot requests, the replies to the ends of turns, and the
+// remaining capacity.
 
 #include "fleet/LeaderTable.h"
 #include "fleet/ProgramGroups.h"
 #include "history/CapacityMonitor.h"
+#include "history/HistoryStateMachine.h"
 #include "history/SlotRequestTable.h"
 
 #include <gtest/gtest.h>
@@ -122,6 +124,78 @@
   EXPECT_EQ(m_SlotRequests.size(), 1U);
 }
 
+class EndRepliesTest : public testing::Test, public EntrySource {
+protected:
+  static HistoryStateMachine::Request endRequest(std::uint64_t Id, bool Keep) {
+    HistoryStateMachine::Request Received;
+    Received.set_id(Id);
+    auto &End = *Received.mutable_end();
+    End.set_organisation("guild");
+    End.set_program("p");
+    End.set_turn("t");
+    End.set_tokens(5);
+    End.set_keep(Keep);
+    End.set_text(Keep ? "text" : "");
+    End.set_retention_ms(60'000);
+    return Received;
+  }
+
+  /// Registers and applies \p Received, as a leader does.
+  void propose(const HistoryStateMachine::Request &Received) {
+    m_State.awaitCommit(++m_LastIndex, "entry-1", Received);
+    apply(Received);
+  }
+
+  void apply(const HistoryStateMachine::Request &Received) {
+    messages::fleet::HistoryCommand Command;
+    *Command.mutable_end() = Received.end();
+    m_Commands[m_LastIndex] = Command.SerializeAsString();
+    m_State.apply(m_LastIndex, m_Commands.at(m_LastIndex), 1'000'000);
+  }
+
+  /// The kind of the only reply, which must be to the request \p Id.
+  messages::fleet::ReplyKind replyTo(std::uint64_t Id) {
+    const auto Replies = m_State.takeReplies();
+    EXPECT_EQ(Replies.size(), 1U);
+    EXPECT_EQ(Replies.at(0).m_Reply.id(), Id);
+    return Replies.at(0).m_Reply.kind();
+  }
+
+  std::string commandAt(std::uint64_t Index) const override {
+    return m_Commands.at(Index);
+  }
+
+  std::map<std::uint64_t, std::string> m_Commands;
+  HistoryStateMachine m_State{*this};
+  std::uint64_t m_LastIndex = 0;
+};
+
+/// Load pattern: the reply of an earlier leader is lost.
+TEST_F(EndRepliesTest, ARepeatedEndIsConfirmedAndChangesNothing) {
+  for (std::uint64_t Id = 1; Id <= 3; ++Id) {
+    propose(endRequest(Id, true));
+    EXPECT_EQ(replyTo(Id), messages::fleet::REPLY_OK);
+  }
+  EXPECT_EQ(m_State.ledger().turnCount(), 1U);
+  EXPECT_EQ(m_State.ledger().committedTokens("guild", "p"), 5U);
+  EXPECT_EQ(m_State.chainText("guild", "t"), "text");
+}
+
+TEST_F(EndRepliesTest, ATurnWithoutItsTextIsNotConfirmedAsRetained) {
+  propose(endRequest(1, false));
+  EXPECT_EQ(replyTo(1), messages::fleet::REPLY_OK);
+  propose(endRequest(2, true));
+  EXPECT_EQ(replyTo(2), messages::fleet::REPLY_REFUSED);
+  EXPECT_EQ(m_State.chainText("guild", "t"), std::nullopt);
+}
+
+TEST_F(EndRepliesTest, ACoalescedEndIsNotConfirmedAsRetainedEither) {
+  m_State.awaitCommit(++m_LastIndex, "entry-1", endRequest(1, false));
+  EXPECT_TRUE(m_State.coalesce("entry-2", endRequest(2, true)));
+  apply(endRequest(1, false));
+  EXPECT_EQ(replyTo(2), messages::fleet::REPLY_REFUSED);
+}
+
 /// Load pattern: data arrives faster than it expires by its retention time.
 TEST(RoomWatchTest, IsFullBeforeTheLimits) {
   CapacityMonitor Monitor({.m_MemoryBytes = 100, .m_DiskBytes = 1000});
