The failure of an event stream contains no bytes of its endpoint

What callers of psp-entry saw: up to 80 bytes of an endpoint's garbage in the detail of an error, also inside a stream that had begun. Worse, where those bytes are not UTF-8: the outcome of the call is a message with a text field, and no receiver can parse a message whose text isn't UTF-8. It is recorded in the program's entries and sent to the caller's instance.

Cause: entry/EventStream.cpp put the beginning of a malformed line into its failure.

Fix: the failure names the length of the line instead.

Evidence: entry_broken_stream, GarbledStreamTest, before the fix: "String field 'psp.messages.CallOutcome.detail' contains invalid UTF-8 data when parsing", ParseFromString "Actual: false Expected: true". It passes with the fix.

Not done: what the programs do with such an entry was not run. The content type that an endpoint sends goes into the same message unchecked, and so do fields of callers' requests (path, Idempotency-Key, Content-Type).

--- a/src/entry/EventStream.cpp
+++ b/src/entry/EventStream.cpp
@@ -87,8 +87,11 @@
     return {};
   }
   const json Event = json::parse(Line, nullptr, false);
+  // The failure's text reaches the caller and the program's entries, so it
+  // contains no bytes of the endpoint.
   if (!Event.is_object())
-    fail(std::string(Line.substr(0, 80)));
+    fail("a data line of " + std::to_string(Line.size()) +
+         " bytes that is no JSON object");
   const auto Usage = Event.find("usage");
   if (Usage != Event.end() && Usage->is_object())
     m_Use = readUse(*Usage);
--- a/tests/error/BrokenStreamTest.cpp
+++ b/tests/error/BrokenStreamTest.cpp
@@ -3,8 +3,9 @@
 /// streams that break off and look complete.
 
 #include "entry/EdgeCalls.h"
+#include "entry/EventStream.h"
 
-#include "base/ErrorKind.h"
+#include "base/Error.h"
 #include "program/Outcome.h"
 
 #include <gtest/gtest.h>
@@ -85,5 +86,22 @@
             base::errorAnswer(ErrorKind::EndpointFailed).m_HttpStatus);
 }
 
+/// Load pattern: an endpoint sends bytes that are no event.
+TEST(GarbledStreamTest, TheFailureHasNoBytesOfTheEndpoint) {
+  const std::string Garbage = "data: {\"text\":\"\xff\xfe";
+  EventStream Events;
+  try {
+    Events.feed(Garbage + "\n");
+    FAIL() << "the garbage was accepted";
+  } catch (const base::UserError &Fault) {
+    EXPECT_EQ(std::string(Fault.what()).find('\xff'), std::string::npos);
+    messages::CallOutcome Read;
+    EXPECT_TRUE(Read.ParseFromString(
+        program::failedOutcome(ErrorKind::EndpointFailed, Fault.what())
+            .SerializeAsString()))
+        << "an entry with this outcome can't be read";
+  }
+}
+
 } // namespace
 } // namespace psp::entry
