--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -1,5 +1,6 @@
 #include "coordinator/Coordinator.h"
 
+#include "base/Error.h"
 #include "base/Hash.h"
 #include "metrics/Names.h"
 #include "web/Spawn.h"
@@ -286,13 +287,21 @@
 
 void Coordinator::publishConfiguration() {
   m_PublishedRevision = m_StateMachine.revision();
-  if (m_StateMachine.version() > 0)
-    m_Configuration = m_Codec.decode(m_StateMachine.document());
-  m_Node.metrics()
-      .gauge(metrics::names::ConfigurationVersion)
-      .set(static_cast<std::int64_t>(m_StateMachine.version()));
-  m_Node.log().write("configuration_in_force",
-                     {{"version", m_StateMachine.version()}});
+  try {
+    if (m_StateMachine.version() > 0)
+      m_Configuration = m_Codec.decode(m_StateMachine.document());
+    m_Node.metrics()
+        .gauge(metrics::names::ConfigurationVersion)
+        .set(static_cast<std::int64_t>(m_StateMachine.version()));
+    m_Node.log().write("configuration_in_force",
+                       {{"version", m_StateMachine.version()}});
+  } catch (const base::UserError &Fault) {
+    // Another version of this program has accepted the document, which is in
+    // the journal; the current configuration stays active.
+    m_Node.log().write(
+        "configuration_unreadable",
+        {{"version", m_StateMachine.version()}, {"reason", Fault.what()}});
+  }
   m_Node.broadcast(configurationMessage(NODE_ENTRY), NODE_ENTRY);
   m_Node.broadcast(configurationMessage(NODE_HISTORY), NODE_HISTORY);
 }
