A relayed request reports an exception of its coroutine

The relay of a request to the history leader was written beside web::spawn() and still used asio::detached, which discards an exception. It uses web::spawn() now.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -42,7 +42,6 @@
            ConnectionUse Use)
     : m_Gateway(Owner), m_CallerSocket(Caller), m_Request(std::move(Received)),
       m_Use(Use), m_KeepAlive(Use != ConnectionUse::Close),
-
       m_RouteTable(Owner.routeTable()), m_ArrivedAt(base::readMonotonic()),
       m_Deadline(m_ArrivedAt), m_DeadlineTimer(Owner.io()),
       m_InactivityTimer(Owner.io()) {}
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -151,8 +151,8 @@
                         (Received.has_begin() || Received.has_end()) &&
                         m_Node.links().isConnected(Leader);
     if (Relays) {
-      asio::co_spawn(m_Node.io(), relayToLeader(From, Received, Leader),
-                     asio::detached);
+      web::spawn(m_Node.io().get_executor(), "relay_to_leader",
+                 relayToLeader(From, Received, Leader));
       return;
     }
     Reply Rejection;
