A pause before an endpoint reads a long request doesn't end the call

Callers got 502 for a turn with a long body if the engine paused for a second before it read it, and calls that only wait ended when the link lost packets for 0.7 s.

Cause: TCP_USER_TIMEOUT was 1 s. The kernel also applies it to a receive window that stays full, which a paused process causes, and to keep-alive probes, of which it then allowed one.

It is 2.5 s now, longer than a pause of "a second or so" and two probes.

Not measured: plain calls notice a partition during a send after 2.5 s.

--- a/src/gateway/EndpointChannel.cpp
+++ b/src/gateway/EndpointChannel.cpp
@@ -25,16 +25,16 @@
 constexpr std::uint32_t MaxHeadBytes = 32U << 10U;
 /// Maximum interim responses before a response.
 constexpr int MaxInterimResponses = 8;
-/// A connection fails after this time with unacknowledged bytes, which allows
-/// for some retransmissions. The kernel of a slow endpoint still acknowledges
-/// at once.
-constexpr int UserTimeoutMs = 1000;
-/// Times of the kernel's keep-alive probes, in seconds, and their number. They
-/// detect a connection that is lost while nothing is being sent. The kernel of
-/// an endpoint that pauses still answers them.
+/// A connection fails after this time without an acknowledgement, whether of
+/// bytes, of the kernel's keep-alive probes, or that a full receive window has
+/// room again. The last one also comes from an endpoint that pauses before it
+/// has read a long request, so the time is longer than such a pause.
+constexpr int UserTimeoutMs = 2500;
+/// Times of the kernel's keep-alive probes, in seconds. They detect a connection
+/// that is lost while nothing is being sent. The kernel of an endpoint that
+/// pauses still answers them. UserTimeoutMs limits their number.
 constexpr int KeepAliveIdleS = 1;
 constexpr int KeepAliveIntervalS = 1;
-constexpr int KeepAliveCount = 2;
 
 std::optional<tcp::endpoint> parseAddress(const std::string &Address) {
   const std::size_t Colon = Address.rfind(':');
@@ -78,7 +78,6 @@
   SetTcpOption.operator()<TCP_USER_TIMEOUT>(UserTimeoutMs);
   SetTcpOption.operator()<TCP_KEEPIDLE>(KeepAliveIdleS);
   SetTcpOption.operator()<TCP_KEEPINTVL>(KeepAliveIntervalS);
-  SetTcpOption.operator()<TCP_KEEPCNT>(KeepAliveCount);
   co_return true;
 }
 
