--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -318,7 +318,7 @@
       Self->scheduleInactivityCheck(Endpoint);
       return;
     }
-    Placement.onUnreachable(Endpoint, base::readMonotonic());
+    Placement.onSilent(Endpoint, base::readMonotonic());
     web::spawn(Self->m_Gateway.io().get_executor(), "probe_silent_endpoint",
                Self->probeSilentEndpoint(Endpoint));
   });
@@ -348,6 +348,7 @@
     scheduleInactivityCheck(Endpoint);
     co_return;
   }
+  m_Gateway.placement().onUnreachable(Endpoint, base::readMonotonic());
   m_UnreachableEndpoints.push_back(Endpoint);
   abort();
 }
--- a/src/gateway/ReachabilityProbe.cpp
+++ b/src/gateway/ReachabilityProbe.cpp
@@ -13,9 +13,15 @@
   }
   m_Pending.try_emplace(Address);
   auto Channel = std::make_unique<EndpointChannel>(m_Io, Address);
-  const bool Reachable = co_await Channel->connect(m_Timeout);
-  if (Reachable)
-    m_Pool.release(std::move(Channel), std::nullopt);
+  bool Reachable = false;
+  try {
+    Reachable = co_await Channel->connect(m_Timeout);
+    if (Reachable)
+      m_Pool.release(std::move(Channel), std::nullopt);
+  } catch (...) {
+    m_Pending.erase(Address); // The next call probes again.
+    throw;
+  }
   const auto Entry = m_Pending.extract(Address);
   for (const auto &Waiting : Entry.mapped())
     Waiting->fire(Reachable);
--- a/src/gateway/ServicePlacement.cpp
+++ b/src/gateway/ServicePlacement.cpp
@@ -100,6 +100,13 @@
                                       m_Options.m_MaxAvoidTime);
 }
 
+void ServicePlacement::onSilent(const std::string &Endpoint,
+                                base::TimePoint Now) {
+  EndpointStats &Stats = m_Stats[Endpoint];
+  Stats.m_AvoidUntil =
+      std::max(Stats.m_AvoidUntil, Now + m_Options.m_AvoidTime);
+}
+
 void ServicePlacement::onBytesReceived(const std::string &Endpoint,
                                        base::TimePoint Now) {
   m_Stats[Endpoint].m_LastReceivedAt = Now;
--- a/src/gateway/ServicePlacement.h
+++ b/src/gateway/ServicePlacement.h
@@ -63,6 +63,8 @@
               base::TimePoint Now);
   /// The endpoint can't be reached, so the next call would fail as well.
   void onUnreachable(const std::string &Endpoint, base::TimePoint Now);
+  /// Nothing comes from the endpoint, which is avoided for a short time.
+  void onSilent(const std::string &Endpoint, base::TimePoint Now);
   /// Bytes arrived from the endpoint, on any connection.
   void onBytesReceived(const std::string &Endpoint, base::TimePoint Now);
   /// When bytes last arrived from the endpoint.
