Crashes that no lost connection shows count, and a try is spent by a send only

- An endpoint that closes the connection after a response without a length and then ends counted as a success, and one that ends after its caller has left or the deadline has passed was not seen at all.
Both are checked now by whether the endpoint still accepts connections; of abandoned calls at most 64 at a time, three times within 1.2 s, first by the idle connections to it.
- Permission to try a held request was taken before the rate, history and the choice of an endpoint, so a call that none of these let through spent the try and the request was held for 10 min more.
It is asked right before the send.
- Copies that several callers send at once count once each round; six different endpoints are enough now in any order.
- That a call was sent again after a loss counted even if the endpoint had not ended.
The report names the endpoint before, which must be the one counted.
- A hold of another request ended the exclusion of a second try; a hold lasted longer after the clock was set back; a restarted instance got the configuration before the holds; suspicions were forgotten only with the next one, so that every call was hashed after a single crash.

Unit tests: six endpoints with three callers at once, and a clock that is set back. The rest was read in the code.

--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -141,10 +141,11 @@
     *Endpoints.mutable_endpoints()->add_endpoints() = Endpoint;
   if (Endpoints.has_endpoints())
     m_Node.links().send(Peer.name(), Endpoints);
-  if (group().isCurrent())
-    m_Node.links().send(Peer.name(), configurationMessage(Peer.kind()));
+  // Before the configuration, without which an instance serves nothing.
   if (Peer.kind() == NODE_ENTRY && m_PublishedHolds > 0)
     m_Node.links().send(Peer.name(), heldRequestsMessage());
+  if (group().isCurrent())
+    m_Node.links().send(Peer.name(), configurationMessage(Peer.kind()));
 }
 
 asio::awaitable<void> Coordinator::serveRequest(std::string From,
--- a/src/coordinator/Coordinator.h
+++ b/src/coordinator/Coordinator.h
@@ -120,6 +120,8 @@
   CrashTracker m_CrashTracker;
   /// Requests for which a hold was proposed in this term.
   std::set<std::string> m_PendingHolds;
+  /// Held requests for which permission to be tried is being committed.
+  std::set<std::string> m_PendingTries;
   std::uint64_t m_PublishedHolds = 0; ///< Revision of the held requests.
   /// Holds of which this node has written a log line: number, by fingerprint.
   std::map<std::string, std::uint32_t> m_LoggedHolds;
--- a/src/coordinator/CoordinatorHolds.cpp
+++ b/src/coordinator/CoordinatorHolds.cpp
@@ -45,7 +45,9 @@
                       {"route", Crash.route()},
                       {"endpoint", Crash.endpoint()},
                       {"counted", Counted ? "yes" : "no"},
-                      {"crashes", Suspected.m_Endpoints.size()}});
+                      {"crashes", Suspected.m_Crashes},
+                      {"endpoints", Suspected.m_Endpoints.size()}});
+  holdSuspects();
   if (!Counted)
     return;
   m_Node.metrics().counter(metrics::names::EndpointCrashes).add();
@@ -54,7 +56,6 @@
     Message.mutable_suspected()->add_fingerprints(Fingerprint);
     m_Node.broadcast(Message, NODE_ENTRY);
   }
-  holdSuspects();
 }
 
 /// Proposes to hold the requests that have ended too many endpoints.
@@ -62,7 +63,8 @@
   if (!group().isEstablishedLeader())
     return;
   for (const std::string &Fingerprint : m_CrashTracker.requestsToHold()) {
-    if (!m_PendingHolds.insert(Fingerprint).second)
+    if (m_StateMachine.heldRequests().find(Fingerprint) ||
+        !m_PendingHolds.insert(Fingerprint).second)
       continue;
     const CrashTracker::Suspect &Suspected = *m_CrashTracker.find(Fingerprint);
     messages::fleet::ControlGroupCommand Command;
@@ -112,7 +114,7 @@
   *Message.mutable_held() = m_StateMachine.heldRequests().state();
   const std::uint64_t Now = wallMs();
   for (HeldRequest &Entry : *Message.mutable_held()->mutable_requests()) {
-    Entry.set_left_ms(std::max(Entry.until_ms(), Now) - Now);
+    Entry.set_left_ms(m_StateMachine.heldRequests().leftMs(Entry, Now));
     Entry.clear_endpoints();
   }
   return Message;
@@ -128,13 +130,14 @@
   if (!Held)
     co_return Result;
   Result.set_kind(messages::fleet::REPLY_BUSY);
-  if (wallMs() < Held->until_ms() || !m_PendingHolds.insert(Fingerprint).second)
+  if (m_StateMachine.heldRequests().leftMs(*Held, wallMs()) > 0 ||
+      !m_PendingTries.insert(Fingerprint).second)
     co_return Result;
   messages::fleet::ControlGroupCommand Command;
   Command.mutable_hold()->set_fingerprint(Fingerprint);
   Command.mutable_hold()->set_hold(Held->holds() + 1);
   const bool Committed = co_await commit(std::move(Command));
-  m_PendingHolds.erase(Fingerprint);
+  m_PendingTries.erase(Fingerprint);
   m_Node.log().write("held_request_tried",
                      {{"fingerprint", base::toHex(Fingerprint)},
                       {"outcome", Committed ? "granted" : "not committed"}});
--- a/src/coordinator/CrashTracker.cpp
+++ b/src/coordinator/CrashTracker.cpp
@@ -9,20 +9,25 @@
     return Now - base::Duration(static_cast<std::int64_t>(MicrosecondsAgo));
   };
   forget(Now);
-  const auto [It, Inserted] = m_Suspects.try_emplace(Crash.fingerprint());
-  Suspect &Request = It->second;
+  Suspect &Suspected = m_Suspects[Crash.fingerprint()];
   const std::pair Endpoint(Crash.endpoint(), Crash.born());
-  const bool Known = std::ranges::find(Request.m_Endpoints, Endpoint) !=
-                     Request.m_Endpoints.end();
-  if (!Inserted &&
-      (Known || Request.m_Endpoints.size() >= m_Options.m_MaxCrashes ||
-       (!Crash.repeated() &&
-        Before(Crash.sent_us_ago()) < Request.m_LastLostAt)))
+  if (shouldHold(Suspected) ||
+      std::ranges::find(Suspected.m_Endpoints, Endpoint) !=
+          Suspected.m_Endpoints.end())
     return false;
-  Request.m_Organisation = Crash.organisation();
-  Request.m_Route = Crash.route();
-  Request.m_Endpoints.push_back(Endpoint);
-  Request.m_LastLostAt = Before(Crash.lost_us_ago());
+  Suspected.m_Organisation = Crash.organisation();
+  Suspected.m_Route = Crash.route();
+  Suspected.m_Endpoints.push_back(Endpoint);
+  // Reports of two sends of one call are too close to be ordered by time.
+  const bool FollowsLast =
+      Suspected.m_LastCounted ==
+          std::pair(Crash.previous_endpoint(), Crash.previous_born()) ||
+      Before(Crash.sent_us_ago()) >= Suspected.m_LastLostAt;
+  if (Suspected.m_Crashes > 0 && !FollowsLast)
+    return false;
+  ++Suspected.m_Crashes;
+  Suspected.m_LastCounted = Endpoint;
+  Suspected.m_LastLostAt = Before(Crash.lost_us_ago());
   return true;
 }
 
@@ -34,15 +39,15 @@
 
 std::vector<std::string> CrashTracker::requestsToHold() const {
   std::vector<std::string> Fingerprints;
-  for (const auto &[Fingerprint, Request] : m_Suspects)
-    if (Request.m_Endpoints.size() >= m_Options.m_MaxCrashes)
+  for (const auto &[Fingerprint, Suspected] : m_Suspects)
+    if (shouldHold(Suspected))
       Fingerprints.push_back(Fingerprint);
   return Fingerprints;
 }
 
 std::size_t CrashTracker::crashes(const std::string &Fingerprint) const {
-  const Suspect *Request = find(Fingerprint);
-  return Request ? Request->m_Endpoints.size() : 0;
+  const Suspect *Suspected = find(Fingerprint);
+  return Suspected ? Suspected->m_Crashes : 0;
 }
 
 /// Drops requests whose last crash is long ago, and makes room for one.
--- a/src/coordinator/CrashTracker.h
+++ b/src/coordinator/CrashTracker.h
@@ -21,6 +21,9 @@
   /// A request that has ended this many endpoints one after another is to be
   /// held.
   std::size_t m_MaxCrashes = 3;
+  /// So is one that has ended this many endpoints in any order, since it may be
+  /// sent by several callers at once.
+  std::size_t m_MaxEndpoints = 6;
   /// Instances should report a success of a request from this many crashes on.
   std::size_t m_SuspectCrashes = 2;
   /// A request without another crash for this long is forgotten.
@@ -41,8 +44,12 @@
   struct Suspect {
     std::string m_Organisation;
     std::string m_Route;
-    /// Identifiers and starts of the endpoints, in the order of their crashes.
+    /// Identifiers and starts of the endpoints, in the order of the reports.
     std::vector<std::pair<std::string, std::uint64_t>> m_Endpoints;
+    /// Crashes of which each followed the one before.
+    std::size_t m_Crashes = 0;
+    /// Endpoint of the last one of these.
+    std::pair<std::string, std::uint64_t> m_LastCounted;
     base::TimePoint m_LastLostAt;
   };
 
@@ -59,7 +66,8 @@
     return crashes(Fingerprint) >= m_Options.m_SuspectCrashes;
   }
   bool shouldHold(const std::string &Fingerprint) const {
-    return crashes(Fingerprint) >= m_Options.m_MaxCrashes;
+    const Suspect *Suspected = find(Fingerprint);
+    return Suspected && shouldHold(*Suspected);
   }
   /// Fingerprints of all requests that should be held.
   std::vector<std::string> requestsToHold() const;
@@ -67,6 +75,10 @@
 
 private:
   std::size_t crashes(const std::string &Fingerprint) const;
+  bool shouldHold(const Suspect &Suspected) const {
+    return Suspected.m_Crashes >= m_Options.m_MaxCrashes ||
+           Suspected.m_Endpoints.size() >= m_Options.m_MaxEndpoints;
+  }
   void forget(base::TimePoint Now);
 
   CrashTrackerOptions m_Options;
--- a/src/fleet/HeldRequestList.cpp
+++ b/src/fleet/HeldRequestList.cpp
@@ -20,11 +20,9 @@
     Held->set_since_ms(WallMs);
     *Held->mutable_endpoints() = Command.endpoints();
   }
-  const std::size_t Last = m_Options.m_Holds.size() - 1;
-  const base::Duration Length =
-      m_Options.m_Holds[std::min<std::size_t>(Held->holds(), Last)];
   Held->set_holds(Command.hold());
-  Held->set_until_ms(WallMs + base::wholeMilliseconds(Length));
+  Held->set_until_ms(WallMs +
+                     base::wholeMilliseconds(lengthOf(Command.hold())));
   m_State.set_revision(Index);
   return true;
 }
@@ -47,6 +45,18 @@
   return It == m_State.requests().end() ? nullptr : &*It;
 }
 
+std::uint64_t HeldRequestList::leftMs(const HeldRequest &Held,
+                                      std::uint64_t WallMs) const {
+  return std::min(std::max(Held.until_ms(), WallMs) - WallMs,
+                  base::wholeMilliseconds(lengthOf(Held.holds())));
+}
+
+/// Length of the hold with the number \p Hold, which begins at 1.
+base::Duration HeldRequestList::lengthOf(std::uint32_t Hold) const {
+  const std::size_t Last = m_Options.m_Holds.size() - 1;
+  return m_Options.m_Holds[std::min<std::size_t>(std::max(Hold, 1U) - 1, Last)];
+}
+
 std::uint32_t HeldRequestList::nextHold(const std::string &Fingerprint) const {
   const HeldRequest *Held = find(Fingerprint);
   return Held ? Held->holds() + 1 : 1;
--- a/src/fleet/HeldRequestList.h
+++ b/src/fleet/HeldRequestList.h
@@ -45,6 +45,10 @@
   /// Null if \p Fingerprint is not held.
   const messages::fleet::HeldRequest *
   find(const std::string &Fingerprint) const;
+  /// Time until the end of the hold, at most its length: the clock may have
+  /// been set back.
+  std::uint64_t leftMs(const messages::fleet::HeldRequest &Held,
+                       std::uint64_t WallMs) const;
   /// Number of the hold that the next command for \p Fingerprint must have.
   std::uint32_t nextHold(const std::string &Fingerprint) const;
 
@@ -53,6 +57,7 @@
   void restore(const messages::fleet::HeldRequests &State) { m_State = State; }
 
 private:
+  base::Duration lengthOf(std::uint32_t Hold) const;
   messages::fleet::HeldRequest *findMutable(const std::string &Fingerprint);
   void forget(std::uint64_t WallMs);
 
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -31,8 +31,9 @@
 constexpr base::Duration RateRetryDelay = base::milliseconds(500);
 /// A call with less time left than this can't be served before its deadline.
 constexpr base::Duration MinTimeLeft = base::milliseconds(5);
-/// For a held request that may be tried soon, by another call.
-constexpr base::Duration MinHoldRetryDelay = base::seconds(1);
+/// Timeout for permission to send a held request: a commit of the control
+/// group.
+constexpr base::Duration HoldRequestTimeout = base::seconds(1);
 /// Timeout of each request that decides whether a call is within the rate.
 constexpr base::Duration RateRequestTimeout = base::milliseconds(250);
 
@@ -112,7 +113,7 @@
   }
   armDeadline();
   watchForDisconnect();
-  if (auto Reason = co_await checkHold()) {
+  if (auto Reason = holdRefusal()) {
     co_await refuse(std::move(*Reason));
     co_return;
   }
@@ -157,36 +158,37 @@
   return std::nullopt;
 }
 
-/// Refuses a held request, unless the control leader lets it be tried.
-asio::awaitable<std::optional<Refusal>> Call::checkHold() {
-  if (m_Gateway.heldRequests().empty())
-    co_return std::nullopt;
-  const auto Left =
-      m_Gateway.heldRequests().holdLeft(fingerprint(), base::readMonotonic());
-  if (Left && *Left == base::Duration(0)) {
-    messages::fleet::Request LeaderRequest;
-    LeaderRequest.mutable_try_held()->set_fingerprint(fingerprint());
-    const auto LeaderReply = co_await m_Gateway.requestFromLeader(
-        messages::fleet::NODE_CONTROL, LeaderRequest,
-        std::min(RateRequestTimeout, timeLeft()));
-    m_MayTryHeld =
-        LeaderReply && LeaderReply->kind() == messages::fleet::REPLY_OK;
-  }
-  co_return holdRefusal();
-}
-
-/// Empty if the request is not held, or may be tried.
+/// Empty if the request is not held, or its hold has ended.
 std::optional<Refusal> Call::holdRefusal() {
-  if (m_MayTryHeld || m_Gateway.heldRequests().empty())
+  if (!m_Gateway.heldRequests().isHolding())
     return std::nullopt;
   const auto Left =
       m_Gateway.heldRequests().holdLeft(fingerprint(), base::readMonotonic());
-  if (!Left)
+  if (!Left || *Left == base::Duration(0))
     return std::nullopt;
   return Refusal(ErrorKind::RequestHeld,
                  "this request has ended several endpoints that ran it; it is "
                  "kept from endpoints for a time",
-                 std::max(*Left, MinHoldRetryDelay));
+                 std::max<base::Duration>(*Left, MinHoldRetryDelay));
+}
+
+/// Whether the request may be sent now. After a hold, the control leader lets
+/// one call try it.
+asio::awaitable<bool> Call::maySend() {
+  if (!m_Gateway.heldRequests().isHolding() || m_MayTryHeld)
+    co_return true;
+  const auto Left =
+      m_Gateway.heldRequests().holdLeft(fingerprint(), base::readMonotonic());
+  if (!Left || *Left > base::Duration(0))
+    co_return !Left;
+  messages::fleet::Request LeaderRequest;
+  LeaderRequest.mutable_try_held()->set_fingerprint(fingerprint());
+  const auto LeaderReply = co_await m_Gateway.requestFromLeader(
+      messages::fleet::NODE_CONTROL, LeaderRequest,
+      std::min<base::Duration>(HoldRequestTimeout, timeLeft()));
+  m_MayTryHeld =
+      LeaderReply && LeaderReply->kind() == messages::fleet::REPLY_OK;
+  co_return m_MayTryHeld;
 }
 
 asio::awaitable<bool> Call::takeRateToken() {
@@ -459,16 +461,26 @@
   return m_Fingerprint;
 }
 
-void Call::reportCrash(const fleet::EndpointState &Endpoint, TimePoint SentAt) {
-  messages::fleet::EndpointCrash Crash;
-  Crash.set_fingerprint(fingerprint());
-  Crash.set_organisation(organisationName());
-  Crash.set_route(m_Route->m_Name);
-  Crash.set_endpoint(Endpoint.id());
-  Crash.set_born(Endpoint.born());
-  Crash.set_repeated(m_LostSends++ > 0);
+/// Has it found out whether \p Endpoint has ended.
+void Call::checkLostCall(LostCall::Kind Kind,
+                         const fleet::EndpointState &Endpoint,
+                         TimePoint SentAt) {
+  LostCall Lost;
+  Lost.m_Kind = Kind;
+  Lost.m_Address = Endpoint.address();
+  Lost.m_SentAt = SentAt;
+  Lost.m_LostAt = base::readMonotonic();
+  Lost.m_Crash.set_fingerprint(fingerprint());
+  Lost.m_Crash.set_organisation(organisationName());
+  Lost.m_Crash.set_route(m_Route->m_Name);
+  Lost.m_Crash.set_endpoint(Endpoint.id());
+  Lost.m_Crash.set_born(Endpoint.born());
+  Lost.m_Crash.set_previous_endpoint(m_LastLostEndpoint);
+  Lost.m_Crash.set_previous_born(m_LastLostStart);
+  m_LastLostEndpoint = Endpoint.id();
+  m_LastLostStart = Endpoint.born();
   m_MayTryHeld = false; // One attempt is enough to show it.
-  m_Gateway.reportCrashAsync(std::move(Crash), Endpoint.address(), SentAt);
+  m_Gateway.checkLostCallAsync(std::move(Lost));
 }
 
 std::uint32_t Call::priority() const {
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -11,6 +11,7 @@
 #include "gateway/EndpointChannel.h"
 #include "gateway/EventStream.h"
 #include "gateway/InactivityMonitor.h"
+#include "gateway/LostCall.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -75,7 +76,6 @@
   boost::asio::awaitable<std::optional<std::uint32_t>>
   requestRateTokens(const RateAdmission &Admission);
   boost::asio::awaitable<bool> hasProgramBegun();
-  boost::asio::awaitable<std::optional<Refusal>> checkHold();
   std::optional<Refusal> holdRefusal();
   boost::asio::awaitable<std::optional<Refusal>> beginTurn();
   boost::asio::awaitable<void> refuse(Refusal Reason);
@@ -98,6 +98,7 @@
   std::string formatHead(const ResponseHead &Head,
                          const std::string &Framing) const;
   bool mayRetry() const;
+  boost::asio::awaitable<bool> maySend();
   bool hasGivenUp(const std::string &Endpoint) const;
   bool exceedsMaxTokens(std::uint64_t Tokens) const;
   /// Schedules checks that abort the wait for \p Endpoint when it becomes
@@ -127,7 +128,10 @@
   /// Zero is the highest.
   std::uint32_t priority() const;
   const std::string &fingerprint();
-  void reportCrash(const fleet::EndpointState &Endpoint, TimePoint SentAt);
+  void checkLostCall(LostCall::Kind Kind, const fleet::EndpointState &Endpoint,
+                     TimePoint SentAt);
+  void onSendEnded(SendOutcome Outcome, const fleet::EndpointState &Endpoint,
+                   TimePoint SentAt);
 
   Gateway &m_Gateway;
   boost::asio::ip::tcp::socket &m_CallerSocket;
@@ -170,8 +174,11 @@
   bool m_MayTryHeld = false;
   /// The connection ended before the endpoint had answered completely.
   bool m_ConnectionLost = false;
-  /// Number of sends whose connection was lost.
-  std::uint32_t m_LostSends = 0;
+  bool m_Sent = false; ///< The present endpoint has the complete request.
+  bool m_EndedByClose = false; ///< The response ended with its connection.
+  /// The endpoint that may have ended with this call before, and its start.
+  std::string m_LastLostEndpoint;
+  std::uint64_t m_LastLostStart = 0;
   /// Number of endpoints that may have executed the call.
   std::uint32_t m_Executions = 0;
 };
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -90,21 +90,27 @@
     if (!Selected)
       break;
     AnyCandidate = true;
-    if (auto Reason = holdRefusal()) {
+    // Copied, since the directory may change while the call waits.
+    const fleet::EndpointState Endpoint = *Selected;
+    const std::string &Id = Endpoint.id();
+    if (!co_await maySend()) {
+      auto Reason = holdRefusal();
+      if (!Reason)
+        Reason.emplace(ErrorKind::RequestHeld,
+                       "another call is trying whether this request still ends "
+                       "endpoints",
+                       MinHoldRetryDelay);
       if (m_Executions > 0)
         Reason.emplace(ErrorKind::EndpointFailed,
                        "the endpoints that ran the call have failed");
       co_await refuse(std::move(*Reason));
       co_return;
     }
-    // Copied, since the directory may change while the call waits.
-    const fleet::EndpointState Endpoint = *Selected;
-    const std::string &Id = Endpoint.id();
     Placement.onSent(Id);
     const TimePoint Start = base::readMonotonic();
     m_CurrentEndpoint = Id;
     m_CurrentAddress = Endpoint.address();
-    m_ConnectionLost = false;
+    m_ConnectionLost = m_EndedByClose = m_Sent = false;
     SendOutcome Outcome = SendOutcome::Ended;
     try {
       Outcome = co_await sendTo(Endpoint);
@@ -117,12 +123,7 @@
         Id, Success ? base::readMonotonic() - Start : base::Duration(0),
         base::readMonotonic());
     Excluded.insert(Id);
-    if (m_ConnectionLost)
-      reportCrash(Endpoint, Start);
-    else if (Outcome == SendOutcome::Answered &&
-             !m_Gateway.heldRequests().empty() &&
-             m_Gateway.heldRequests().onSuccess(fingerprint()))
-      m_Gateway.reportSuccess(fingerprint());
+    onSendEnded(Outcome, Endpoint, Start);
     if (Outcome == SendOutcome::Answered)
       co_return;
     if (Outcome == SendOutcome::Broken) {
@@ -162,6 +163,23 @@
                           EndpointRetryDelay));
 }
 
+/// Follows up whether the request has ended the endpoint.
+void Call::onSendEnded(SendOutcome Outcome,
+                       const fleet::EndpointState &Endpoint, TimePoint SentAt) {
+  const bool Answered = Outcome == SendOutcome::Answered;
+  HeldRequestTable &HeldRequests = m_Gateway.heldRequests();
+  if (m_ConnectionLost)
+    checkLostCall(LostCall::Kind::Lost, Endpoint, SentAt);
+  else if (Answered && m_EndedByClose)
+    checkLostCall(LostCall::Kind::Answered, Endpoint, SentAt);
+  else if (Answered && !HeldRequests.empty() &&
+           HeldRequests.onSuccess(fingerprint()))
+    m_Gateway.reportSuccess(fingerprint());
+  else if (m_Sent && isCancelled() && !Answered &&
+           Outcome != SendOutcome::NotRun)
+    checkLostCall(LostCall::Kind::Abandoned, Endpoint, SentAt);
+}
+
 bool Call::mayRetry() const {
   return m_Route->isRepeatable() && m_Executions < m_Route->m_Attempts &&
          !isCancelled();
@@ -210,6 +228,7 @@
     co_return isCancelled() ? SendOutcome::Ended : SendOutcome::NotRun;
   }
   ++m_Executions;
+  m_Sent = true;
   if (m_IsTurn)
     scheduleInactivityCheck(Id);
   co_return co_await receiveResponse(std::move(Channel), std::move(Record));
@@ -260,6 +279,7 @@
   const SendOutcome Outcome = Streams ? co_await forwardStream(*Channel)
                                       : co_await forwardBuffered(*Channel);
   logSend(Record, outcomeName(Outcome));
+  m_EndedByClose = Channel->framing() == ResponseFraming::UntilClose;
   m_ConnectionLost =
       !Channel->isComplete() && !isCancelled() && !hasGivenUp(Id);
   if (Channel->isReusable())
--- a/src/gateway/EndpointChannel.cpp
+++ b/src/gateway/EndpointChannel.cpp
@@ -30,9 +30,9 @@
 /// room again. The last one also comes from an endpoint that pauses before it
 /// has read a long request, so the time is longer than such a pause.
 constexpr int UserTimeoutMs = 2500;
-/// Times of the kernel's keep-alive probes, in seconds. They detect a connection
-/// that is lost while nothing is being sent. The kernel of an endpoint that
-/// pauses still answers them. UserTimeoutMs limits their number.
+/// Times of the kernel's keep-alive probes, in seconds. They detect a
+/// connection that is lost while nothing is being sent. The kernel of an
+/// endpoint that pauses still answers them. UserTimeoutMs limits their number.
 constexpr int KeepAliveIdleS = 1;
 constexpr int KeepAliveIntervalS = 1;
 
@@ -193,6 +193,13 @@
   return It != m_IdleChannels.end() && !It->second.empty();
 }
 
+bool EndpointPool::hasLive(const std::string &Address) const {
+  const auto It = m_IdleChannels.find(Address);
+  return It != m_IdleChannels.end() &&
+         std::ranges::any_of(
+             It->second, [](const auto &Channel) { return Channel->isIdle(); });
+}
+
 void EndpointPool::expire() {
   const base::TimePoint Now = base::readMonotonic();
   for (auto &[Address, Channels] : m_IdleChannels)
--- a/src/gateway/EndpointChannel.h
+++ b/src/gateway/EndpointChannel.h
@@ -109,6 +109,8 @@
   void release(std::unique_ptr<EndpointChannel> Channel,
                std::optional<base::Duration> IdleTimeout);
   bool hasIdle(const std::string &Address) const override;
+  /// Whether the endpoint has not closed an idle connection.
+  bool hasLive(const std::string &Address) const;
   /// Closes connections that have reached their idle timeout.
   void expire();
   std::size_t idleCount() const;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -173,18 +173,29 @@
                       {"requests", m_HeldRequests.heldCount()}});
 }
 
-void Gateway::reportCrashAsync(messages::fleet::EndpointCrash Crash,
-                               std::string Address, base::TimePoint SentAt) {
-  web::spawn(io().get_executor(), "report_crash",
-             reportCrash(std::move(Crash), std::move(Address), SentAt));
+void Gateway::checkLostCallAsync(LostCall Lost) {
+  if (Lost.m_Kind == LostCall::Kind::Abandoned &&
+      m_AbandonedCalls >= m_Options.m_MaxAbandonedCalls)
+    return;
+  web::spawn(io().get_executor(), "check_lost_call",
+             checkLostCall(std::move(Lost)));
 }
 
-asio::awaitable<void> Gateway::reportCrash(messages::fleet::EndpointCrash Crash,
-                                           std::string Address,
-                                           base::TimePoint SentAt) {
-  const base::TimePoint LostAt = base::readMonotonic();
-  const bool Reachable = co_await m_Probe.check(Address);
+asio::awaitable<void> Gateway::checkLostCall(LostCall Lost) {
+  messages::fleet::EndpointCrash &Crash = Lost.m_Crash;
+  bool Reachable = false;
+  if (Lost.m_Kind == LostCall::Kind::Abandoned) {
+    Reachable = co_await staysReachable(Lost.m_Address);
+    Lost.m_LostAt = base::readMonotonic();
+  } else {
+    Reachable = co_await m_Probe.check(Lost.m_Address);
+  }
   const base::TimePoint Now = base::readMonotonic();
+  if (Reachable && Lost.m_Kind == LostCall::Kind::Answered &&
+      m_HeldRequests.onSuccess(Crash.fingerprint()))
+    reportSuccess(Crash.fingerprint());
+  if (Reachable && Lost.m_Kind != LostCall::Kind::Lost)
+    co_return;
   m_Node.log().write("endpoint_lost_call",
                      {{"fingerprint", base::toHex(Crash.fingerprint())},
                       {"organisation", Crash.organisation()},
@@ -194,14 +205,30 @@
                       {"reachable", Reachable ? "yes" : "no"}});
   if (Reachable)
     co_return;
-  Crash.set_sent_us_ago(static_cast<std::uint64_t>((Now - SentAt).count()));
-  Crash.set_lost_us_ago(static_cast<std::uint64_t>((Now - LostAt).count()));
+  const auto Ago = [Now](base::TimePoint Time) {
+    return static_cast<std::uint64_t>((Now - Time).count());
+  };
+  Crash.set_sent_us_ago(Ago(Lost.m_SentAt));
+  Crash.set_lost_us_ago(Ago(Lost.m_LostAt));
   m_HeldRequests.suspect(Crash.fingerprint(), Now);
   LinkMessage Message;
   *Message.mutable_crashes()->add_crashes() = std::move(Crash);
   m_Node.broadcast(Message, NODE_CONTROL);
 }
 
+/// Whether the endpoint of an abandoned call doesn't end soon after.
+asio::awaitable<bool> Gateway::staysReachable(std::string Address) {
+  ++m_AbandonedCalls;
+  bool Reachable = true;
+  for (int Check = 0; Check < m_Options.m_AbandonedCallChecks && Reachable;
+       ++Check) {
+    co_await pause(m_Options.m_AbandonedCallPause);
+    Reachable = m_Pool.hasLive(Address) || co_await m_Probe.check(Address);
+  }
+  --m_AbandonedCalls;
+  co_return Reachable;
+}
+
 void Gateway::reportSuccess(const std::string &Fingerprint) {
   LinkMessage Message;
   Message.mutable_crashes()->add_succeeded(Fingerprint);
@@ -390,6 +417,7 @@
 void Gateway::runMaintenance() {
   m_Pool.expire();
   m_Programs.expire(ProgramRetentionTime, base::readMonotonic());
+  m_HeldRequests.expire(base::readMonotonic());
   probeLeader();
   const bool Ready = isReady();
   if (std::exchange(m_ReportedReady, Ready) != Ready)
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/HeldRequestTable.h"
 #include "gateway/IdleLimit.h"
 #include "gateway/LeaderSearch.h"
+#include "gateway/LostCall.h"
 #include "gateway/RateShares.h"
 #include "gateway/ReachabilityProbe.h"
 #include "gateway/RecentPrograms.h"
@@ -65,6 +66,12 @@
   /// A stopping instance accepts calls for at least this long, until the
   /// balancer has detected that it is not ready.
   base::Duration m_StopDrainTime = base::milliseconds(3000);
+  /// The endpoint of an abandoned call, which may still execute it, is checked
+  /// this often, with a pause before each check.
+  int m_AbandonedCallChecks = 3;
+  base::Duration m_AbandonedCallPause = base::milliseconds(400);
+  /// Abandoned calls beyond this number are not checked.
+  std::size_t m_MaxAbandonedCalls = 64;
   /// A stopping instance exits this long before it would be killed.
   base::Duration m_StopMargin = base::milliseconds(700);
 };
@@ -113,10 +120,9 @@
   /// nodes are notified.
   void onEndpointLeaving(const std::string &Id, std::uint64_t StartTime);
   HeldRequestTable &heldRequests() { return m_HeldRequests; }
-  /// Reports in the background that \p Crash has lost a call, if the endpoint
-  /// at \p Address accepts no connection any more.
-  void reportCrashAsync(messages::fleet::EndpointCrash Crash,
-                        std::string Address, base::TimePoint SentAt);
+  /// Finds out in the background whether the endpoint of \p Lost accepts
+  /// connections, and reports its crash if not.
+  void checkLostCallAsync(LostCall Lost);
   /// Reports that an endpoint has answered a suspected request.
   void reportSuccess(const std::string &Fingerprint);
   ServicePlacement &placement() { return m_Placement; }
@@ -165,9 +171,8 @@
   void onHeldRequests(const messages::fleet::HeldRequests &Update);
   void onConfiguration(const messages::fleet::ConfigurationUpdate &Update);
   boost::asio::awaitable<void> recordTurnEnd(messages::fleet::EndTurn End);
-  boost::asio::awaitable<void> reportCrash(messages::fleet::EndpointCrash Crash,
-                                           std::string Address,
-                                           base::TimePoint SentAt);
+  boost::asio::awaitable<void> checkLostCall(LostCall Lost);
+  boost::asio::awaitable<bool> staysReachable(std::string Address);
   void runMaintenance();
   void probeLeader();
   base::Duration probeInterval() const;
@@ -196,6 +201,7 @@
   ReachabilityProbe m_Probe;
   ServicePlacement m_Placement;
   HeldRequestTable m_HeldRequests;
+  std::size_t m_AbandonedCalls = 0; ///< That wait for their check.
   RateShares m_Rates;
   RecentPrograms m_Programs;
   link::RequestTable m_PendingRequests;
--- a/src/gateway/HeldRequestTable.cpp
+++ b/src/gateway/HeldRequestTable.cpp
@@ -17,15 +17,18 @@
 
 void HeldRequestTable::suspect(const std::string &Fingerprint,
                                base::TimePoint Now) {
-  std::erase_if(m_Suspects, [&](const auto &Entry) {
-    return Now - Entry.second > m_Options.m_SuspicionTime;
-  });
   if (m_Suspects.size() >= m_Options.m_MaxSuspects)
     m_Suspects.erase(std::ranges::min_element(
         m_Suspects, {}, [](const auto &Entry) { return Entry.second; }));
   m_Suspects.try_emplace(Fingerprint, Now);
 }
 
+void HeldRequestTable::expire(base::TimePoint Now) {
+  std::erase_if(m_Suspects, [&](const auto &Entry) {
+    return Now - Entry.second > m_Options.m_SuspicionTime;
+  });
+}
+
 std::optional<base::Duration>
 HeldRequestTable::holdLeft(const std::string &Fingerprint,
                            base::TimePoint Now) const {
--- a/src/gateway/HeldRequestTable.h
+++ b/src/gateway/HeldRequestTable.h
@@ -23,7 +23,7 @@
   std::size_t m_MaxSuspects = 256;
 };
 
-/// Load pattern: almost always empty, so that a call need not be digested.
+/// Load pattern: almost always empty, so that a call need not be hashed.
 class HeldRequestTable {
 public:
   explicit HeldRequestTable(HeldRequestTableOptions Options = {})
@@ -34,8 +34,11 @@
   /// Successes of \p Fingerprint are to be reported from now on.
   void suspect(const std::string &Fingerprint, base::TimePoint Now);
 
+  /// Forgets old suspicions.
+  void expire(base::TimePoint Now);
   /// Whether no request is held or suspected.
   bool empty() const { return m_Held.empty() && m_Suspects.empty(); }
+  bool isHolding() const { return !m_Held.empty(); }
   /// Time until the hold of \p Fingerprint ends; zero if it has ended and the
   /// request may be tried with the control leader's permission. Empty if the
   /// request is not held.
--- a/src/gateway/RetryTime.h
+++ b/src/gateway/RetryTime.h
@@ -14,6 +14,9 @@
 /// Time until an endpoint has announced itself, or a slot is free.
 inline constexpr base::Duration EndpointRetryDelay = base::milliseconds(250);
 
+/// For a held request that another call is trying.
+inline constexpr base::Duration MinHoldRetryDelay = base::seconds(1);
+
 /// State of the history nodes as seen by an instance that has no history
 /// leader.
 struct HistoryStatus {
--- a/tests/correctness/HeldRequestTest.cpp
+++ b/tests/correctness/HeldRequestTest.cpp
@@ -74,10 +74,12 @@
   messages::fleet::EndpointCrash Crash;
   Crash.set_fingerprint("deadly");
   Crash.set_endpoint("a");
+  Crash.set_born(1);
   Crash.set_sent_us_ago(9000);
   EXPECT_TRUE(m_Tracker.onCrash(Crash, m_Now));
   Crash.set_endpoint("b");
-  Crash.set_repeated(true);
+  Crash.set_previous_endpoint("a");
+  Crash.set_previous_born(1);
   EXPECT_TRUE(m_Tracker.onCrash(Crash, m_Now + milliseconds(1)));
   EXPECT_TRUE(m_Tracker.isSuspect("deadly"));
 }
@@ -91,6 +93,17 @@
     EXPECT_FALSE(m_Tracker.isSuspect("sound-" + std::to_string(Request)));
 }
 
+TEST_F(CrashTrackerTest, RepetitionsAtTheSameTimeAreFoundByTheirNumber) {
+  // Three callers send it at once, again and again.
+  int Crashes = 0;
+  while (!m_Tracker.shouldHold("deadly") && Crashes < 100) {
+    m_Now += seconds(4);
+    for (int Caller = 0; Caller < 3; ++Caller, ++Crashes)
+      lose("deadly", std::to_string(Crashes));
+  }
+  EXPECT_LE(Crashes, 6);
+}
+
 TEST_F(CrashTrackerTest, OneSuccessEndsSuspicion) {
   lose("sound", "a");
   m_Now += seconds(1);
@@ -148,6 +161,15 @@
   EXPECT_GE(m_WallMs, 1000000U + 24U * 3600 * 1000);
 }
 
+TEST_F(HeldRequestListTest, AClockThatIsSetBackDoesNotProlongAHold) {
+  hold("sound", 1);
+  const std::uint64_t Length = left("sound");
+  EXPECT_EQ(m_List.leftMs(*m_List.find("sound"), m_WallMs - 500000), Length);
+  EXPECT_EQ(m_List.leftMs(*m_List.find("sound"), m_WallMs + 1000),
+            Length - 1000);
+  EXPECT_EQ(m_List.leftMs(*m_List.find("sound"), m_WallMs + Length + 1), 0U);
+}
+
 TEST_F(HeldRequestListTest, ARepeatedCommandChangesNothing) {
   hold("deadly", 1);
   const std::uint64_t Revision = m_List.state().revision();
@@ -242,7 +264,8 @@
   EXPECT_FALSE(m_Table.onSuccess("0"));
   EXPECT_TRUE(m_Table.onSuccess("9999"));
   m_Now += seconds(3600);
-  m_Table.suspect("later", m_Now);
+  m_Table.expire(m_Now);
+  EXPECT_TRUE(m_Table.empty());
   EXPECT_FALSE(m_Table.onSuccess("9998"));
 }
 
