A variant of a held request is held after two crashes, and holds begin with 60 s

A fingerprint has two halves now, for organisation and path and for the body. A request with the first half of a held one is held after two crashes. The first hold lasts 60 s, so that the tries of both don't add to these at once.

CrashTrackerTest.AVariantOfAHeldRequestIsHeldEarlier.

--- a/src/base/ErrorKind.cpp
+++ b/src/base/ErrorKind.cpp
@@ -25,7 +25,7 @@
                 "The organisation's rate is used up"},
     ErrorAnswer{Overloaded, "overloaded", 503, No, 1,
                 "The queue in front of the endpoints is full"},
-    ErrorAnswer{RequestHeld, "request-held", 503, No, 30,
+    ErrorAnswer{RequestHeld, "request-held", 503, No, 60,
                 "This request has ended several endpoints that ran it"},
     ErrorAnswer{NoEndpoint, "no-endpoint", 503, No, 2,
                 "No endpoint serves this route at present"},
--- a/src/coordinator/CoordinatorHolds.cpp
+++ b/src/coordinator/CoordinatorHolds.cpp
@@ -1,6 +1,7 @@
 #include "coordinator/Coordinator.h"
 
 #include "base/Hash.h"
+#include "fleet/RequestFingerprint.h"
 #include "metrics/Names.h"
 
 #include <algorithm>
@@ -83,7 +84,9 @@
 void Coordinator::publishHeldRequests() {
   const messages::fleet::HeldRequests &Held =
       m_StateMachine.heldRequests().state();
+  std::set<std::string> HeldPaths;
   for (const HeldRequest &Entry : Held.requests()) {
+    HeldPaths.insert(fleet::pathFingerprint(Entry.fingerprint()));
     m_CrashTracker.clear(Entry.fingerprint());
     m_PendingHolds.erase(Entry.fingerprint());
     if (m_LoggedHolds[Entry.fingerprint()] == Entry.holds())
@@ -102,6 +105,7 @@
   std::erase_if(m_LoggedHolds, [&](const auto &Entry) {
     return !m_StateMachine.heldRequests().find(Entry.first);
   });
+  m_CrashTracker.setHeldPaths(std::move(HeldPaths));
   m_PublishedHolds = Held.revision();
   m_Node.metrics()
       .gauge(metrics::names::RequestsHeld)
--- a/src/coordinator/CrashTracker.cpp
+++ b/src/coordinator/CrashTracker.cpp
@@ -1,5 +1,7 @@
 #include "coordinator/CrashTracker.h"
 
+#include "fleet/RequestFingerprint.h"
+
 #include <algorithm>
 
 namespace psp::coordinator {
@@ -17,6 +19,7 @@
     return false;
   Suspected.m_Organisation = Crash.organisation();
   Suspected.m_Route = Crash.route();
+  Suspected.m_PathFingerprint = fleet::pathFingerprint(Crash.fingerprint());
   Suspected.m_Endpoints.push_back(Endpoint);
   // Reports of two sends of one call are too close to be ordered by time.
   const bool FollowsLast =
--- a/src/coordinator/CrashTracker.h
+++ b/src/coordinator/CrashTracker.h
@@ -21,6 +21,9 @@
   /// A request that has ended this many endpoints one after another is to be
   /// held.
   std::size_t m_MaxCrashes = 3;
+  /// If another request of the same organisation and path is held, this many
+  /// are enough: callers vary a request, or continue from another turn with it.
+  std::size_t m_MaxRelatedCrashes = 2;
   /// So is one that has ended this many endpoints in any order, since it may be
   /// sent by several callers at once.
   std::size_t m_MaxEndpoints = 6;
@@ -44,6 +47,7 @@
   struct Suspect {
     std::string m_Organisation;
     std::string m_Route;
+    std::string m_PathFingerprint;
     /// Identifiers and starts of the endpoints, in the order of the reports.
     std::vector<std::pair<std::string, std::uint64_t>> m_Endpoints;
     /// Crashes of which each followed the one before.
@@ -58,6 +62,10 @@
 
   /// Returns whether the crash counts against the request.
   bool onCrash(const EndpointCrash &Crash, base::TimePoint Now);
+  /// Requests with one of \p PathFingerprints are related to a held one.
+  void setHeldPaths(std::set<std::string> PathFingerprints) {
+    m_HeldPaths = std::move(PathFingerprints);
+  }
   /// An endpoint has answered the request, or the request is held now.
   void clear(const std::string &Fingerprint) { m_Suspects.erase(Fingerprint); }
   /// Null if the request has ended no endpoint.
@@ -76,13 +84,17 @@
 private:
   std::size_t crashes(const std::string &Fingerprint) const;
   bool shouldHold(const Suspect &Suspected) const {
-    return Suspected.m_Crashes >= m_Options.m_MaxCrashes ||
+    return Suspected.m_Crashes >=
+               (m_HeldPaths.contains(Suspected.m_PathFingerprint)
+                    ? m_Options.m_MaxRelatedCrashes
+                    : m_Options.m_MaxCrashes) ||
            Suspected.m_Endpoints.size() >= m_Options.m_MaxEndpoints;
   }
   void forget(base::TimePoint Now);
 
   CrashTrackerOptions m_Options;
   std::map<std::string, Suspect> m_Suspects; ///< By fingerprint.
+  std::set<std::string> m_HeldPaths;
 };
 
 } // namespace psp::coordinator
--- a/src/fleet/HeldRequestList.h
+++ b/src/fleet/HeldRequestList.h
@@ -19,7 +19,7 @@
   /// Lengths of the consecutive holds of a request; the last one repeats. After
   /// each hold, one attempt shows whether the request still ends endpoints.
   std::vector<base::Duration> m_Holds = {
-      base::seconds(30), base::seconds(10 * 60), base::seconds(3 * 3600),
+      base::seconds(60), base::seconds(10 * 60), base::seconds(3 * 3600),
       base::seconds(24 * 3600)};
   /// A request that was not tried again for this long after a hold is
   /// forgotten.
--- a/src/fleet/RequestFingerprint.h
+++ b/src/fleet/RequestFingerprint.h
@@ -14,6 +14,10 @@
 std::string requestFingerprint(std::string_view Organisation,
                                std::string_view Path, std::string_view Body);
 
+/// The part of \p Fingerprint that requests of the same organisation and path
+/// have in common.
+std::string pathFingerprint(const std::string &Fingerprint);
+
 } // namespace psp::fleet
 
 #endif
--- a/tests/correctness/HeldRequestTest.cpp
+++ b/tests/correctness/HeldRequestTest.cpp
@@ -24,6 +24,13 @@
   EXPECT_NE(fleet::requestFingerprint("other", "/a/1", "body"), Own);
   EXPECT_NE(fleet::requestFingerprint("guild", "/a/2", "body"), Own);
   EXPECT_NE(fleet::requestFingerprint("guild", "/a/1", "bodies"), Own);
+  // Requests with the same path are related.
+  EXPECT_EQ(fleet::pathFingerprint(
+                fleet::requestFingerprint("guild", "/a/1", "other")),
+            fleet::pathFingerprint(Own));
+  EXPECT_NE(fleet::pathFingerprint(
+                fleet::requestFingerprint("other", "/a/1", "body")),
+            fleet::pathFingerprint(Own));
   // Parts are not joined.
   EXPECT_NE(fleet::requestFingerprint("guild", "/a/1b", "ody"), Own);
 }
@@ -104,6 +111,21 @@
   EXPECT_LE(Crashes, 6);
 }
 
+TEST_F(CrashTrackerTest, AVariantOfAHeldRequestIsHeldEarlier) {
+  const std::string Held = fleet::requestFingerprint("guild", "/a", "begin");
+  const std::string Variant = fleet::requestFingerprint("guild", "/a", "later");
+  const std::string Other = fleet::requestFingerprint("guild", "/b", "later");
+  m_Tracker.setHeldPaths({fleet::pathFingerprint(Held)});
+  for (const char *Endpoint : {"a", "b"}) {
+    EXPECT_FALSE(m_Tracker.shouldHold(Variant));
+    lose(Variant, Endpoint);
+    lose(Other, Endpoint);
+    m_Now += seconds(1);
+  }
+  EXPECT_TRUE(m_Tracker.shouldHold(Variant));
+  EXPECT_FALSE(m_Tracker.shouldHold(Other));
+}
+
 TEST_F(CrashTrackerTest, OneSuccessEndsSuspicion) {
   lose("sound", "a");
   m_Now += seconds(1);
