A stand-in that stops ends its connections too

Trace: abandoned calls have their endpoint probed now, and a connection that a probe opens goes to the pool. The test stops one stand-in and starts the next at the same address; the stopped one kept its open connections and got the next call over such a one, so the new one never saw it. An endpoint that has stopped has no open connections, so stop() ends them, as silent_endpoint.py had it for itself.

--- a/tests/process/dribble.py
+++ b/tests/process/dribble.py
@@ -23,9 +23,16 @@
 class Engine(leaving.Endpoint):
     def __init__(self, fleet, manner):
         super().__init__(fleet, "stream", 0)
-        self.manner, self.let_go_at = manner, None
+        self.manner, self.let_go_at, self.writers = manner, None, []
+
+    def stop(self):
+        """Also ends the connections that the instance keeps open for later calls."""
+        super().stop()
+        for writer in self.writers:
+            writer.transport.abort()
 
     async def _serve(self, reader, writer):
+        self.writers.append(writer)
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").split("\r\n")
             fields = {k.lower(): v for k, v in (x.split(": ", 1) for x in head[1:] if ": " in x)}
--- a/tests/process/silent_endpoint.py
+++ b/tests/process/silent_endpoint.py
@@ -25,20 +25,6 @@
 
 
 class Engine(dribble.Engine):
-    def __init__(self, fleet, manner):
-        super().__init__(fleet, manner)
-        self.writers = []
-
-    async def _serve(self, reader, writer):
-        self.writers.append(writer)
-        await super()._serve(reader, writer)
-
-    def stop(self):
-        """Also ends the connections that the instance keeps open."""
-        super().stop()
-        for writer in self.writers:
-            writer.transport.abort()
-
     async def pause_before_answer(self, start, writer):
         await asyncio.sleep(PAUSE_S)
         await self._send(writer, (start + "\r\n").encode() + chunk(FIRST) + chunk(REST) + b"0\r\n\r\n")
