Log the framing and the event count of each send

Which framing an endpoint used, and how many events had come when its connection ended, couldn't be told from the log of an instance.

--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -65,7 +65,8 @@
     std::uint64_t m_StartTime = 0;
     TimePoint m_SentAt;
     TimePoint m_RespondedAt;
-    unsigned m_Status = 0; ///< Zero without a response.
+    unsigned m_Status = 0;                    ///< Zero without a response.
+    std::optional<ResponseFraming> m_Framing; ///< Empty without a response.
   };
 
   // Checks, in Call.cpp.
@@ -161,6 +162,7 @@
   std::string m_EarlierTurns;
   std::string m_AssignedEndpoint; ///< Engine that the history leader selected.
   std::uint64_t m_Tokens = 0;
+  std::uint64_t m_Events = 0; ///< Complete ones that were received.
   std::uint32_t m_EventGapUs = 0;
   std::string m_Output;
   std::string m_CurrentEndpoint;
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -254,6 +254,7 @@
   }
   Placement.onBytesReceived(Id, Record.m_RespondedAt);
   Record.m_Status = Channel->head().result_int();
+  Record.m_Framing = Channel->framing();
   m_Gateway.node()
       .metrics()
       .histogram(metrics::names::FirstByteLatency)
@@ -314,6 +315,8 @@
        {"sent_us", SinceArrival(Record.m_SentAt)},
        {"answered_us", SinceArrival(Record.m_RespondedAt)},
        {"done_us", SinceArrival(base::readMonotonic())},
+       {"framing", Record.m_Framing ? framingName(*Record.m_Framing) : "none"},
+       {"events", m_Events},
        {"tokens", m_Tokens},
        {"event_gap_us", m_EventGapUs},
        {"status", Record.m_Status},
@@ -474,6 +477,7 @@
       co_return m_ResponseStarted ? SendOutcome::Broken : SendOutcome::Unknown;
     }
     m_Tokens = StartedEvents * TokensPerEvent;
+    m_Events = Events.eventCount();
     LastAt = base::readMonotonic();
     m_Gateway.placement().onBytesReceived(m_CurrentEndpoint, LastAt);
     if (!FirstAt)
--- a/src/gateway/EndpointChannel.cpp
+++ b/src/gateway/EndpointChannel.cpp
@@ -52,6 +52,18 @@
 
 } // namespace
 
+std::string_view framingName(ResponseFraming Framing) {
+  switch (Framing) {
+  case ResponseFraming::Length:
+    return "length";
+  case ResponseFraming::Chunked:
+    return "chunked";
+  case ResponseFraming::UntilClose:
+    return "until_close";
+  }
+  return "unknown";
+}
+
 EndpointChannel::EndpointChannel(asio::io_context &Io, std::string Address)
     : m_Io(Io), m_Address(std::move(Address)), m_Socket(Io) {}
 
--- a/src/gateway/EndpointChannel.h
+++ b/src/gateway/EndpointChannel.h
@@ -28,6 +28,9 @@
 /// How the body of a response is delimited.
 enum class ResponseFraming { Length, Chunked, UntilClose };
 
+/// For log lines.
+std::string_view framingName(ResponseFraming Framing);
+
 class EndpointChannel {
 public:
   EndpointChannel(boost::asio::io_context &Io, std::string Address);
