An unframed response isn't complete when its endpoint has crashed

Cause: a response with neither a length nor chunks ends with its connection, and a crash closes a connection as the end of a complete response does. The instance took a close between two events, or before the first, for the end, sent it on as chunks and stated the end with the last one. Responses that aren't streams were given a length on the same sign, and a turn was retained, so that a later turn went on from what had been cut off. Class: an end is stated that nobody knows.

Change: such a body is passed on as it came, without chunks or a length, and ends with the caller's connection, which is reset unless the end is known (SO_LINGER, also when this process is killed). Before the end is passed on, confirmed to history or counted as a success, the instance looks whether the endpoint's process still runs: 20 ms later, since a process that ends closes its sockets one after the other. If it doesn't, the response has been broken off. So has a stream without any event that takes none up.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -71,7 +71,9 @@
   if (m_TurnOpen)
     settleTurnAsync(false);
   boost::system::error_code Ignored; // Only ends watchForDisconnect().
-  if (m_CallerSocket.is_open())
+  if (m_ResetOnClose)
+    m_CallerSocket.close(Ignored); // A shutdown would state the end.
+  else if (m_CallerSocket.is_open())
     m_CallerSocket.cancel(Ignored);
   co_return m_KeepAlive && !m_CallerDisconnected;
 }
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -96,8 +96,19 @@
   boost::asio::awaitable<SendOutcome> forwardBuffered(EndpointChannel &Channel);
   boost::asio::awaitable<SendOutcome> forwardStream(EndpointChannel &Channel);
   boost::asio::awaitable<bool> write(std::string_view Bytes);
+  /// Whether the response has really ended. One that ends with its connection
+  /// also seems to when the endpoint's process has ended.
+  boost::asio::awaitable<bool> confirmEnd(EndpointChannel &Channel);
+  /// The head of the response to the caller. \p Framing is left out if the
+  /// endpoint states the end of the body only by closing its connection: this
+  /// instance then knows no more of the end, and passes it on in the same way.
+  std::string startResponse(const EndpointChannel &Channel,
+                            const std::string &Framing);
   std::string formatHead(const ResponseHead &Head,
                          const std::string &Framing) const;
+  /// Whether the close of the caller's connection resets it, also at the end of
+  /// this process.
+  void setResetOnClose(bool Enable);
   bool mayRetry() const;
   boost::asio::awaitable<bool> maySend();
   bool hasGivenUp(const std::string &Endpoint) const;
@@ -177,7 +188,8 @@
   /// The connection ended before the endpoint had answered completely.
   bool m_ConnectionLost = false;
   bool m_Sent = false; ///< The present endpoint has the complete request.
-  bool m_EndedByClose = false; ///< The response ended with its connection.
+  /// The caller's response ends with its connection and isn't complete.
+  bool m_ResetOnClose = false;
   /// The endpoint that may have ended with this call before, and its start.
   std::string m_LastLostEndpoint;
   std::uint64_t m_LastLostStart = 0;
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <sys/socket.h>
 #include <utility>
 
 namespace psp::gateway {
@@ -110,7 +111,7 @@
     const TimePoint Start = base::readMonotonic();
     m_CurrentEndpoint = Id;
     m_CurrentAddress = Endpoint.address();
-    m_ConnectionLost = m_EndedByClose = m_Sent = false;
+    m_ConnectionLost = m_Sent = false;
     SendOutcome Outcome = SendOutcome::Ended;
     try {
       Outcome = co_await sendTo(Endpoint);
@@ -170,8 +171,6 @@
   HeldRequestTable &HeldRequests = m_Gateway.heldRequests();
   if (m_ConnectionLost)
     checkLostCall(LostCall::Kind::Lost, Endpoint, SentAt);
-  else if (Answered && m_EndedByClose)
-    checkLostCall(LostCall::Kind::Answered, Endpoint, SentAt);
   else if (Answered && !HeldRequests.empty() &&
            HeldRequests.onSuccess(fingerprint()))
     m_Gateway.reportSuccess(fingerprint());
@@ -280,7 +279,6 @@
   const SendOutcome Outcome = Streams ? co_await forwardStream(*Channel)
                                       : co_await forwardBuffered(*Channel);
   logSend(Record, outcomeName(Outcome));
-  m_EndedByClose = Channel->framing() == ResponseFraming::UntilClose;
   m_ConnectionLost =
       !Channel->isComplete() && !isCancelled() && !hasGivenUp(Id);
   if (Channel->isReusable())
@@ -436,14 +434,13 @@
       break;
     Body += Bytes;
   }
-  if (!Channel.isComplete())
+  if (!co_await confirmEnd(Channel))
     co_return isCancelled() ? SendOutcome::Ended : SendOutcome::Unknown;
-  const std::string Head =
-      formatHead(Channel.head(),
-                 "Content-Length: " + std::to_string(Body.size()) + "\r\n");
-  m_ResponseStarted = true;
+  const std::string Head = startResponse(
+      Channel, "Content-Length: " + std::to_string(Body.size()) + "\r\n");
   if (!co_await write(Head + Body))
     co_return SendOutcome::Broken;
+  setResetOnClose(false);
   co_return SendOutcome::Answered;
 }
 
@@ -451,8 +448,12 @@
   EventStream Events(m_Route->m_RetainsTurns);
   const fleet::ServiceSpec *Service = m_RouteTable->service(m_Service);
   const std::uint64_t TokensPerEvent = Service ? Service->m_TokensPerEvent : 1;
-  std::string Head =
-      formatHead(Channel.head(), "Transfer-Encoding: chunked\r\n");
+  const bool Chunked = Channel.framing() != ResponseFraming::UntilClose;
+  const auto Head = [&] {
+    return m_ResponseStarted
+               ? std::string()
+               : startResponse(Channel, "Transfer-Encoding: chunked\r\n");
+  };
   std::optional<TimePoint> FirstAt;
   TimePoint LastAt;
   while (true) {
@@ -482,10 +483,10 @@
     m_Gateway.placement().onBytesReceived(m_CurrentEndpoint, LastAt);
     if (!FirstAt)
       FirstAt = LastAt;
-    m_ResponseStarted = true;
     m_WritingToCaller = true;
-    const bool Written =
-        co_await write(std::exchange(Head, {}) + encodeChunk(Bytes));
+    std::string Out = Head();
+    Out += Chunked ? encodeChunk(Bytes) : std::string(Bytes);
+    const bool Written = co_await write(Out);
     m_WritingToCaller = false;
     if (!Written)
       co_return SendOutcome::Broken;
@@ -495,14 +496,17 @@
     m_EventGapUs = static_cast<std::uint32_t>(
         (LastAt - *FirstAt).count() /
         static_cast<std::int64_t>(Events.eventCount() - 1));
-  if (Channel.isComplete() && !Events.isBetweenEvents()) {
+  // Only the rest of a stream that is taken up may be empty.
+  const bool Empty =
+      !Chunked && Events.eventCount() == 0 && m_Metadata.m_LastEventId.empty();
+  if (Channel.isComplete() && (!Events.isBetweenEvents() || Empty)) {
     m_Gateway.node().log().write("stream_ended_inside_event",
                                  {{"request", m_Metadata.m_Id},
                                   {"endpoint", m_CurrentEndpoint},
                                   {"events", Events.eventCount()}});
     Channel.markIncomplete();
   }
-  if (!Channel.isComplete()) {
+  if (!co_await confirmEnd(Channel)) {
     if (m_ResponseStarted)
       co_return SendOutcome::Broken;
     co_return isCancelled() ? SendOutcome::Ended : SendOutcome::Unknown;
@@ -510,12 +514,52 @@
   m_Output = Events.text();
   if (m_IsTurn && m_Route->m_RetainsTurns && !co_await recordTurn())
     co_return SendOutcome::Broken;
-  m_ResponseStarted = true;
-  if (!co_await write(std::exchange(Head, {}) + std::string(LastChunk)))
+  std::string End = Head();
+  if (Chunked)
+    End += LastChunk;
+  if (!co_await write(End))
     co_return SendOutcome::Broken;
+  setResetOnClose(false);
   co_return SendOutcome::Answered;
 }
 
+asio::awaitable<bool> Call::confirmEnd(EndpointChannel &Channel) {
+  if (!Channel.isComplete() || Channel.framing() != ResponseFraming::UntilClose)
+    co_return Channel.isComplete();
+  const TimePoint EndedAt = base::readMonotonic();
+  const bool Running = co_await m_Gateway.isRunning(m_CurrentAddress);
+  m_Gateway.node().log().write(
+      "unframed_response_ended",
+      {{"request", m_Metadata.m_Id},
+       {"endpoint", m_CurrentEndpoint},
+       {"events", m_Events},
+       {"endpoint_runs", Running ? "yes" : "no"},
+       {"ended_us_ago", static_cast<std::uint64_t>(
+                            (base::readMonotonic() - EndedAt).count())}});
+  if (!Running)
+    Channel.markIncomplete();
+  co_return Running;
+}
+
+std::string Call::startResponse(const EndpointChannel &Channel,
+                                const std::string &Framing) {
+  m_ResponseStarted = true;
+  if (Channel.framing() != ResponseFraming::UntilClose)
+    return formatHead(Channel.head(), Framing);
+  m_KeepAlive = false;
+  setResetOnClose(true);
+  return formatHead(Channel.head(), "");
+}
+
+void Call::setResetOnClose(bool Enable) {
+  if (std::exchange(m_ResetOnClose, Enable) == Enable)
+    return;
+  const linger Value = {.l_onoff = Enable ? 1 : 0, .l_linger = 0};
+  // Asio's own option is undone when a socket is destroyed.
+  ::setsockopt(m_CallerSocket.native_handle(), SOL_SOCKET, SO_LINGER, &Value,
+               sizeof(Value));
+}
+
 /// Whether \p Tokens are more than the turn may generate, counting the tokens
 /// of its last event in full.
 bool Call::exceedsMaxTokens(std::uint64_t Tokens) const {
--- a/src/gateway/EndpointChannel.cpp
+++ b/src/gateway/EndpointChannel.cpp
@@ -123,10 +123,10 @@
 }
 
 ResponseFraming EndpointChannel::framing() const {
-  if (m_Parser->chunked())
-    return ResponseFraming::Chunked;
-  return m_Parser->content_length() ? ResponseFraming::Length
-                                    : ResponseFraming::UntilClose;
+  if (m_Parser->need_eof())
+    return ResponseFraming::UntilClose;
+  return m_Parser->chunked() ? ResponseFraming::Chunked
+                             : ResponseFraming::Length;
 }
 
 std::optional<std::uint64_t> EndpointChannel::length() const {
--- a/src/gateway/EndpointChannel.h
+++ b/src/gateway/EndpointChannel.h
@@ -25,7 +25,7 @@
 
 namespace psp::gateway {
 
-/// How the body of a response is delimited.
+/// How the body of a response is delimited. One without a body has a length.
 enum class ResponseFraming { Length, Chunked, UntilClose };
 
 /// For log lines.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -191,9 +191,6 @@
     Reachable = co_await m_Probe.check(Lost.m_Address);
   }
   const base::TimePoint Now = base::readMonotonic();
-  if (Reachable && Lost.m_Kind == LostCall::Kind::Answered &&
-      m_HeldRequests.onSuccess(Crash.fingerprint()))
-    reportSuccess(Crash.fingerprint());
   if (Reachable && Lost.m_Kind != LostCall::Kind::Lost)
     co_return;
   m_Node.log().write("endpoint_lost_call",
@@ -216,6 +213,12 @@
   m_Node.broadcast(Message, NODE_CONTROL);
 }
 
+asio::awaitable<bool> Gateway::isRunning(std::string Address) {
+  co_await pause(m_Options.m_ProcessEndTime);
+  const bool Accepts = co_await m_Probe.checkAnew(Address);
+  co_return Accepts || m_Pool.hasLive(Address);
+}
+
 /// Whether the endpoint of an abandoned call doesn't end soon after.
 asio::awaitable<bool> Gateway::staysReachable(std::string Address) {
   ++m_AbandonedCalls;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -72,6 +72,9 @@
   base::Duration m_AbandonedCallPause = base::milliseconds(400);
   /// Abandoned calls beyond this number are not checked.
   std::size_t m_MaxAbandonedCalls = 64;
+  /// A process that ends closes its connections and its listening socket one
+  /// after another, within this time.
+  base::Duration m_ProcessEndTime = base::milliseconds(20);
   /// A stopping instance exits this long before it would be killed.
   base::Duration m_StopMargin = base::milliseconds(700);
 };
@@ -131,6 +134,9 @@
   boost::asio::awaitable<bool> isReachable(const std::string &Address) {
     return m_Probe.check(Address);
   }
+  /// Whether the process of the endpoint at \p Address runs now. One that
+  /// accepts no further connection still does if an idle one stays open.
+  boost::asio::awaitable<bool> isRunning(std::string Address);
   RateShares &rates() { return m_Rates; }
   RecentPrograms &programs() { return m_Programs; }
   /// Whether the balancer should route callers to this instance.
--- a/src/gateway/LostCall.h
+++ b/src/gateway/LostCall.h
@@ -15,7 +15,6 @@
 struct LostCall {
   enum class Kind {
     Lost,      ///< Its connection ended before the response.
-    Answered,  ///< Its connection ended with the response, as its framing says.
     Abandoned, ///< Its caller left, or its deadline passed.
   };
 
--- a/src/gateway/ReachabilityProbe.cpp
+++ b/src/gateway/ReachabilityProbe.cpp
@@ -28,4 +28,10 @@
   co_return Reachable;
 }
 
+boost::asio::awaitable<bool> ReachabilityProbe::checkAnew(std::string Address) {
+  if (m_Pending.contains(Address))
+    co_await check(Address);
+  co_return co_await check(std::move(Address));
+}
+
 } // namespace psp::gateway
--- a/src/gateway/ReachabilityProbe.h
+++ b/src/gateway/ReachabilityProbe.h
@@ -30,6 +30,8 @@
   /// Whether the endpoint at \p Address accepts a connection within the
   /// timeout.
   boost::asio::awaitable<bool> check(std::string Address);
+  /// The same, but not by a probe that has begun before this call.
+  boost::asio::awaitable<bool> checkAnew(std::string Address);
 
 private:
   boost::asio::io_context &m_Io;
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -185,6 +185,8 @@
     fields = {k.lower(): v for k, v in (line.split(": ", 1) for line in head[1:] if ": " in line)}
     if "content-length" in fields:
         return status, fields, await reader.readexactly(int(fields["content-length"])), True
+    if "transfer-encoding" not in fields:
+        return status, fields, *await read_until_close(reader)
     parts, whole = [], False
     try:
         while True:
@@ -199,5 +201,16 @@
     return status, fields, b"".join(parts), whole
 
 
+async def read_until_close(reader):
+    """The body of an answer that ends with its connection, and whether no reset broke it off."""
+    body = b""
+    try:
+        while piece := await reader.read(65536):
+            body += piece
+    except OSError:
+        return body, False
+    return body, True
+
+
 def now():
     return time.monotonic()
