A stream goes on only at the software version that began it

Cause: the version that an endpoint announces was read nowhere, and neither was the name of the stream that a caller takes up, so placement treated a take-up as a new stream. Class: a decision is made without what it depends on.

Change: an announcement without a version as text is refused, as other odd ones. The version that generates a stream is part of the replicated state of history (StreamVersions), keyed by organisation and request id, kept for the route's timeout and 60 s. The leader that begins a turn knows the engine's version before it commits the turn, so the record costs no message. The first record counts, and all sends of a call stay within its version. A take-up is placed within the version; its own id is recorded too, so that chains hold. Not known: refused at once as stream-unknown, which the group's log confirms. No endpoint of the version: stream-version-gone, at once. Neither has a Retry-After, since the caller has to begin anew. Logs name version, source and age; a metric counts the take-ups.

--- a/src/base/ErrorKind.cpp
+++ b/src/base/ErrorKind.cpp
@@ -29,6 +29,11 @@
                 "This request has ended several endpoints that ran it"},
     ErrorAnswer{NoEndpoint, "no-endpoint", 503, No, 2,
                 "No endpoint serves this route at present"},
+    ErrorAnswer{StreamUnknown, "stream-unknown", 503, No, 0,
+                "The version that began the stream is not known; begin anew"},
+    ErrorAnswer{StreamVersionGone, "stream-version-gone", 503, No, 0,
+                "No endpoint has the version that began the stream; begin "
+                "anew"},
     ErrorAnswer{WrongTurn, "wrong-turn", 409, No, 0,
                 "The turn number is not the program's next one"},
     ErrorAnswer{IdempotencyConflict, "idempotency-conflict", 409, No, 0,
--- a/src/base/ErrorKind.h
+++ b/src/base/ErrorKind.h
@@ -22,6 +22,8 @@
   Overloaded,
   RequestHeld,
   NoEndpoint,
+  StreamUnknown,
+  StreamVersionGone,
   WrongTurn,
   IdempotencyConflict,
   ProgramEnded,
--- a/src/fleet/AnnouncementCheck.cpp
+++ b/src/fleet/AnnouncementCheck.cpp
@@ -75,6 +75,7 @@
     reject("expected printable ASCII characters as id, found others");
   checkName("service", Announced.service());
   checkName("zone", Announced.data_centre());
+  checkName("version", Announced.software());
   checkName("address", Announced.address());
   if (!isConnectable(Announced.address()))
     reject("expected IPV4:PORT with a port of 1 to 65535 as address, found " +
--- a/src/fleet/EndpointDirectory.cpp
+++ b/src/fleet/EndpointDirectory.cpp
@@ -22,7 +22,8 @@
 bool differs(const EndpointState &Left, const EndpointState &Right) {
   return Left.born() != Right.born() || Left.service() != Right.service() ||
          Left.address() != Right.address() || Left.phase() != Right.phase() ||
-         Left.slots() != Right.slots() || Left.silent() != Right.silent();
+         Left.slots() != Right.slots() || Left.silent() != Right.silent() ||
+         Left.software() != Right.software();
 }
 
 } // namespace
--- a/src/fleet/EndpointDirectory.h
+++ b/src/fleet/EndpointDirectory.h
@@ -61,6 +61,13 @@
         Visit(Entry.m_State);
   }
 
+  /// Whether an endpoint of \p Service may be given work.
+  bool hasUsable(const std::string &Service) const {
+    bool Found = false;
+    forEachUsable(Service, [&](const EndpointState &) { Found = true; });
+    return Found;
+  }
+
 private:
   struct DirectoryEntry {
     EndpointState m_State;
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -135,6 +135,11 @@
       co_await refuse(std::move(*Reason));
       co_return;
     }
+  } else if (takesUp()) {
+    if (auto Reason = co_await findStream()) {
+      co_await refuse(std::move(*Reason));
+      co_return;
+    }
   }
   co_await sendToEndpoints();
 }
@@ -247,6 +252,8 @@
 
 /// Reserves the turn's tokens and fetches the text of the turns before it.
 asio::awaitable<std::optional<Refusal>> Call::beginTurn() {
+  if (takesUp() && m_Metadata.m_Resumes.empty())
+    co_return takeUpRefusal(ErrorKind::StreamUnknown);
   const auto Group =
       m_Gateway.groupOf(organisationName(), m_Metadata.m_Program);
   if (!Group)
@@ -266,6 +273,7 @@
   Begin.set_retention_ms(base::wholeMilliseconds(m_Route->m_Retention));
   Begin.set_service(m_Service);
   Begin.set_prompt_prefix(m_Metadata.m_PromptPrefix);
+  describeStream(Begin);
   if (m_Metadata.m_ProgramTimeLeft) {
     Begin.set_has_program_left(true);
     Begin.set_program_left_ms(static_cast<std::uint32_t>(
@@ -302,6 +310,11 @@
         .record(base::readMonotonic() - m_ArrivedAt);
     m_EarlierTurns = LeaderReply->text();
     m_AssignedEndpoint = LeaderReply->endpoint();
+    onStreamFound(*LeaderReply);
+    // A leader with earlier software doesn't know of versions.
+    if (takesUp() && m_Software.empty())
+      co_return takeUpRefusal(ErrorKind::StreamUnknown);
+    m_SoftwareRecorded = !m_Software.empty();
     co_return std::nullopt;
   }
   m_TurnOpen = false;
@@ -311,6 +324,10 @@
                       LeaderReply->wait_ms() > 0
                           ? base::milliseconds(LeaderReply->wait_ms())
                           : EndpointRetryDelay);
+  if (LeaderReply->kind() == messages::fleet::REPLY_STREAM_UNKNOWN)
+    co_return takeUpRefusal(ErrorKind::StreamUnknown);
+  if (LeaderReply->kind() == messages::fleet::REPLY_NO_ENGINE)
+    co_return takeUpRefusal(ErrorKind::StreamVersionGone);
   if (LeaderReply->kind() == messages::fleet::REPLY_BUDGET_SPENT)
     co_return Refusal(ErrorKind::BudgetExceeded,
                       "the program's token budget is exhausted");
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -12,6 +12,7 @@
 #include "gateway/EventStream.h"
 #include "gateway/InactivityMonitor.h"
 #include "gateway/LostCall.h"
+#include "link/RequestTable.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -63,6 +64,7 @@
     std::string m_Endpoint;
     /// Start of the endpoint process, in milliseconds of the wall clock.
     std::uint64_t m_StartTime = 0;
+    std::string m_Software;
     TimePoint m_SentAt;
     TimePoint m_RespondedAt;
     unsigned m_Status = 0;                    ///< Zero without a response.
@@ -125,6 +127,34 @@
   /// Records in the background that the turn has ended, without its text.
   void settleTurnAsync(bool Failed);
 
+  // Streams that may be taken up, in CallStreams.cpp.
+
+  /// A record of the stream's version that is on its way to history.
+  struct StreamRecord {
+    explicit StreamRecord(boost::asio::io_context &Io) : m_Finished(Io) {}
+    link::Waiter m_Finished;
+    std::string m_Software; ///< As history has it; empty: not recorded.
+  };
+  /// Whether a caller may take up this call's stream after a break.
+  bool canBeTakenUp() const;
+  /// Whether this call takes up an earlier stream.
+  bool takesUp() const;
+  void describeStream(messages::fleet::BeginTurn &Begin) const;
+  Refusal takeUpRefusal(base::ErrorKind Kind);
+  /// Finds the version of the stream that a call without a token budget takes
+  /// up.
+  boost::asio::awaitable<std::optional<Refusal>> findStream();
+  void onStreamFound(const messages::fleet::Reply &Found);
+  /// Restricts the call to the version of \p Endpoint, and has the version
+  /// recorded in the background unless it is already.
+  void recordStreamAsync(const fleet::EndpointState &Endpoint);
+  boost::asio::awaitable<void>
+  recordStream(std::shared_ptr<StreamRecord> Record);
+  /// Waits for the record of the version, and returns whether events may be
+  /// forwarded: not if history has another version for this stream.
+  boost::asio::awaitable<bool> awaitStreamRecord();
+  void logTakeUp(std::string_view Outcome);
+
   // The caller.
   void watchForDisconnect();
   void onCallerReadable();
@@ -168,6 +198,13 @@
 
   /// The call begins a program, as far as this instance knows.
   bool m_BeginsProgram = false;
+  /// The only version of the endpoints' software that may generate the stream;
+  /// empty: any.
+  std::string m_Software;
+  bool m_SoftwareRecorded = false; ///< History has m_Software for the stream.
+  std::shared_ptr<StreamRecord> m_StreamRecord; ///< Null if none was needed.
+  /// Age of the record of the stream that is taken up.
+  base::Duration m_StreamAge{0};
   bool m_IsTurn = false;
   bool m_TurnOpen = false; ///< Its tokens are reserved, its end not recorded.
   std::string m_EarlierTurns;
--- a/src/gateway/CallProtocol.h
+++ b/src/gateway/CallProtocol.h
@@ -40,6 +40,8 @@
   std::uint64_t m_PromptTokens = 0; ///< Earlier turns included; zero: unknown.
   std::uint64_t m_MaxTokens = 0;    ///< Limit of this turn; zero: none.
   std::string m_LastEventId;        ///< Event after which to resume a stream.
+  /// Request id of the attempt that brought the first event of that stream.
+  std::string m_Resumes;
 };
 
 /// Metadata that is added to the caller's request when it goes to an endpoint.
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -85,15 +85,16 @@
   for (std::uint32_t Try = 0; Try < m_Gateway.options().m_MaxTries; ++Try) {
     if (isCancelled())
       break;
-    const fleet::EndpointState *Selected =
-        Placement.selectEndpoint(m_Service, m_AssignedEndpoint, Excluded,
-                                 m_Gateway.endpoints(), base::readMonotonic());
+    const fleet::EndpointState *Selected = Placement.selectEndpoint(
+        m_Service, m_AssignedEndpoint, Excluded, m_Software,
+        m_Gateway.endpoints(), base::readMonotonic());
     if (!Selected)
       break;
     AnyCandidate = true;
     // Copied, since the directory may change while the call waits.
     const fleet::EndpointState Endpoint = *Selected;
     const std::string &Id = Endpoint.id();
+    recordStreamAsync(Endpoint);
     if (!co_await maySend()) {
       auto Reason = holdRefusal();
       if (!Reason)
@@ -154,6 +155,11 @@
                             "the call's deadline has passed"));
     co_return;
   }
+  if (takesUp() && !AnyCandidate &&
+      m_Gateway.endpoints().hasUsable(m_Service)) {
+    co_await refuse(takeUpRefusal(ErrorKind::StreamVersionGone));
+    co_return;
+  }
   const bool MayHaveExecuted = m_Executions > 0 && !m_Route->isRepeatable();
   co_await refuse(Refusal(MayHaveExecuted ? ErrorKind::EndpointFailed
                           : AnyCandidate  ? ErrorKind::Overloaded
@@ -220,6 +226,7 @@
   SendRecord Record;
   Record.m_Endpoint = Id;
   Record.m_StartTime = Endpoint.born();
+  Record.m_Software = Endpoint.software();
   Record.m_SentAt = base::readMonotonic();
   if (!co_await Channel->send(Out)) {
     // The request was not written completely, so it can't have been executed.
@@ -307,6 +314,7 @@
        {"organisation", organisationName()},
        {"program", m_Metadata.m_Program},
        {"endpoint", Record.m_Endpoint},
+       {"software", Record.m_Software},
        {"placed_by", AssignedByHistory ? "history" : "instance"},
        {"try", m_Executions},
        {"attempts", m_Route->m_Attempts},
@@ -483,6 +491,10 @@
     m_Gateway.placement().onBytesReceived(m_CurrentEndpoint, LastAt);
     if (!FirstAt)
       FirstAt = LastAt;
+    if (!m_ResponseStarted && !co_await awaitStreamRecord()) {
+      Channel.abort();
+      co_return SendOutcome::Unknown;
+    }
     m_WritingToCaller = true;
     std::string Out = Head();
     Out += Chunked ? encodeChunk(Bytes) : std::string(Bytes);
--- /dev/null
+++ b/src/gateway/CallStreams.cpp
@@ -0,0 +1,152 @@
+#include "gateway/Call.h"
+
+#include "gateway/Gateway.h"
+#include "metrics/Names.h"
+#include "web/Spawn.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace psp::gateway {
+
+namespace asio = boost::asio;
+using base::ErrorKind;
+
+namespace {
+
+/// A stream may be taken up for this long after its call's timeout.
+constexpr base::Duration TakeUpTime = base::seconds(60);
+/// Timeout for the record of a version, and for finding one. The first event of
+/// a new stream waits for the record, which is on its way while the endpoint
+/// prepares the event.
+constexpr base::Duration StreamRequestTimeout = base::milliseconds(250);
+
+} // namespace
+
+bool Call::canBeTakenUp() const {
+  return m_Route->m_Kind == fleet::CallKind::Stream && m_Route->m_Resumable;
+}
+
+bool Call::takesUp() const {
+  return canBeTakenUp() &&
+         (!m_Metadata.m_LastEventId.empty() || !m_Metadata.m_Resumes.empty());
+}
+
+void Call::describeStream(messages::fleet::BeginTurn &Begin) const {
+  if (!canBeTakenUp())
+    return;
+  Begin.set_resumes(m_Metadata.m_Resumes);
+  Begin.set_stream_retention_ms(
+      base::wholeMilliseconds(m_Route->m_Timeout + TakeUpTime));
+}
+
+Refusal Call::takeUpRefusal(ErrorKind Kind) {
+  const bool Unknown = Kind == ErrorKind::StreamUnknown;
+  logTakeUp(Unknown ? "unknown" : "no_endpoint");
+  return {Kind, Unknown
+                    ? "the software version that began the stream is not known"
+                    : "no endpoint has the software version that began the "
+                      "stream"};
+}
+
+asio::awaitable<std::optional<Refusal>> Call::findStream() {
+  if (m_Metadata.m_Resumes.empty())
+    co_return takeUpRefusal(ErrorKind::StreamUnknown);
+  const auto Group =
+      m_Gateway.groupOf(organisationName(), m_Metadata.m_Resumes);
+  std::optional<messages::fleet::Reply> LeaderReply;
+  if (Group) {
+    messages::fleet::Request LeaderRequest;
+    LeaderRequest.set_group(*Group);
+    LeaderRequest.mutable_find_stream()->set_stream(m_Metadata.m_Resumes);
+    LeaderRequest.mutable_find_stream()->set_organisation(organisationName());
+    const base::Duration Timeout =
+        std::min(m_Gateway.leaderWaitTimeout(*Group), timeLeft());
+    LeaderReply = co_await m_Gateway.requestFromLeader(
+        messages::fleet::NODE_HISTORY, LeaderRequest, Timeout);
+  }
+  if (!LeaderReply || LeaderReply->kind() == messages::fleet::REPLY_UNAVAILABLE)
+    co_return Refusal(ErrorKind::QuorumUnavailable,
+                      "no leader of history answered",
+                      m_Gateway.retryDelayWithoutLeader());
+  onStreamFound(*LeaderReply);
+  if (m_Software.empty())
+    co_return takeUpRefusal(ErrorKind::StreamUnknown);
+  co_return std::nullopt;
+}
+
+void Call::onStreamFound(const messages::fleet::Reply &Found) {
+  m_Software = Found.software();
+  m_StreamAge = base::milliseconds(Found.age_ms());
+}
+
+void Call::recordStreamAsync(const fleet::EndpointState &Endpoint) {
+  if (!canBeTakenUp() || m_SoftwareRecorded || m_StreamRecord ||
+      Endpoint.software().empty())
+    return;
+  m_Software = Endpoint.software();
+  m_StreamRecord = std::make_shared<StreamRecord>(m_Gateway.io());
+  web::spawn(m_Gateway.io().get_executor(), "record_stream",
+             recordStream(m_StreamRecord));
+}
+
+asio::awaitable<void> Call::recordStream(std::shared_ptr<StreamRecord> Record) {
+  const auto Self = shared_from_this();
+  const std::string &GroupName =
+      m_IsTurn ? m_Metadata.m_Program : m_Metadata.m_Id;
+  const auto Group = m_Gateway.groupOf(organisationName(), GroupName);
+  if (Group) {
+    messages::fleet::Request LeaderRequest;
+    LeaderRequest.set_group(*Group);
+    auto &Stream = *LeaderRequest.mutable_stream();
+    Stream.set_stream(m_Metadata.m_Id);
+    Stream.set_organisation(organisationName());
+    Stream.set_software(m_Software);
+    Stream.set_retention_ms(
+        base::wholeMilliseconds(m_Route->m_Timeout + TakeUpTime));
+    const auto LeaderReply = co_await m_Gateway.requestFromLeader(
+        messages::fleet::NODE_HISTORY, LeaderRequest, StreamRequestTimeout);
+    if (LeaderReply)
+      Record->m_Software = LeaderReply->software();
+  }
+  if (Record->m_Software.empty())
+    m_Gateway.node().log().write("stream_not_recorded",
+                                 {{"request", m_Metadata.m_Id},
+                                  {"organisation", organisationName()},
+                                  {"software", m_Software}});
+  Record->m_Finished.fire();
+}
+
+asio::awaitable<bool> Call::awaitStreamRecord() {
+  if (m_StreamRecord) {
+    co_await m_StreamRecord->m_Finished.wait(2 * StreamRequestTimeout);
+    const std::string &Recorded = m_StreamRecord->m_Software;
+    if (!Recorded.empty() && Recorded != m_Software)
+      co_return false;
+  }
+  if (takesUp())
+    logTakeUp("went_on");
+  co_return true;
+}
+
+void Call::logTakeUp(std::string_view Outcome) {
+  m_Gateway.node()
+      .metrics()
+      .counter(metrics::names::StreamsTakenUp,
+               {{"outcome", std::string(Outcome)}})
+      .add();
+  m_Gateway.node().log().write(
+      "stream_taken_up",
+      {{"request", m_Metadata.m_Id},
+       {"resumes", m_Metadata.m_Resumes},
+       {"after_event", m_Metadata.m_LastEventId},
+       {"organisation", organisationName()},
+       {"service", m_Service},
+       {"software", m_Software},
+       {"known_by", m_Software.empty() ? "none" : "history"},
+       {"age_us", static_cast<std::uint64_t>(m_StreamAge.count())},
+       {"endpoint", m_CurrentEndpoint},
+       {"outcome", Outcome}});
+}
+
+} // namespace psp::gateway
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -115,6 +115,8 @@
             "endpoint_changed",
             {{"endpoint", Endpoint.id()},
              {"address", Endpoint.address()},
+             {"service", Endpoint.service()},
+             {"software", Endpoint.software()},
              {"phase", messages::fleet::EndpointPhase_Name(Endpoint.phase())}});
 }
 
--- a/src/gateway/ServicePlacement.cpp
+++ b/src/gateway/ServicePlacement.cpp
@@ -25,12 +25,13 @@
 
 const fleet::EndpointState *ServicePlacement::selectEndpoint(
     const std::string &Service, const std::string &Preferred,
-    const std::set<std::string> &Excluded,
+    const std::set<std::string> &Excluded, const std::string &Software,
     const fleet::EndpointDirectory &Endpoints, base::TimePoint Now) {
   const fleet::EndpointState *Best = nullptr;
   double LowestCostMs = std::numeric_limits<double>::max();
   Endpoints.forEachUsable(Service, [&](const fleet::EndpointState &Endpoint) {
-    if (Excluded.contains(Endpoint.id()))
+    if (Excluded.contains(Endpoint.id()) ||
+        (!Software.empty() && Endpoint.software() != Software))
       return;
     double CostMs = estimateCostMs(Endpoint, Now);
     if (Endpoint.id() == Preferred && !isAvoided(Endpoint.id(), Now))
--- a/src/gateway/ServicePlacement.h
+++ b/src/gateway/ServicePlacement.h
@@ -50,12 +50,12 @@
 
   /// The endpoint of \p Service with the lowest estimated cost; null if there
   /// is none. \p Preferred is selected if it is usable and not avoided;
-  /// endpoints in \p Excluded never are.
-  const fleet::EndpointState *
-  selectEndpoint(const std::string &Service, const std::string &Preferred,
-                 const std::set<std::string> &Excluded,
-                 const fleet::EndpointDirectory &Endpoints,
-                 base::TimePoint Now);
+  /// endpoints in \p Excluded, or of another version than \p Software if that
+  /// isn't empty, never are.
+  const fleet::EndpointState *selectEndpoint(
+      const std::string &Service, const std::string &Preferred,
+      const std::set<std::string> &Excluded, const std::string &Software,
+      const fleet::EndpointDirectory &Endpoints, base::TimePoint Now);
 
   void onSent(const std::string &Endpoint);
   /// \p Latency: zero if the call gives no latency sample.
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -22,10 +22,6 @@
 
 constexpr base::Duration MaintenanceInterval = base::milliseconds(500);
 constexpr std::size_t IdentityBytes = 8;
-/// BeginTurn requests of a group are rejected while this many of its commands
-/// wait for their commit: more than a leader commits in the time that an entry
-/// instance waits.
-constexpr std::size_t MaxPendingCommands = 200;
 /// An instance that isn't a member of a group and hasn't received a message
 /// from its leader for this long deletes the group's data. An instance that is
 /// to become a member receives messages several times a second.
@@ -34,6 +30,16 @@
 /// that an entry instance waits for a reply.
 constexpr base::Duration RelayTimeout = base::milliseconds(240);
 
+/// The turn or stream that \p Received names.
+std::string subjectOf(const messages::fleet::Request &Received) {
+  if (Received.has_begin())
+    return Received.begin().turn();
+  if (Received.has_stream())
+    return Received.stream().stream();
+  return Received.has_find_stream() ? Received.find_stream().stream()
+                                    : Received.end().turn();
+}
+
 } // namespace
 
 HistoryNode::HistoryNode(const HistoryNodeOptions &Options,
@@ -148,7 +154,8 @@
     const std::string Leader = leaderOf(Number);
     // Entry instances only, so that no request is relayed twice.
     const bool Relays = Sender.kind() == messages::fleet::NODE_ENTRY &&
-                        (Received.has_begin() || Received.has_end()) &&
+                        (Received.has_begin() || Received.has_end() ||
+                         Received.has_stream() || Received.has_find_stream()) &&
                         m_Node.links().isConnected(Leader);
     if (Relays) {
       web::spawn(m_Node.io().get_executor(), "relay_to_leader",
@@ -170,6 +177,11 @@
     onBegin(From, Received);
   else if (Received.has_end())
     onEnd(From, Received);
+  else if (Received.has_stream())
+    onRecordStream(From, Received);
+  else if (Received.has_find_stream())
+    web::spawn(m_Node.io().get_executor(), "reply_to_find_stream",
+               replyToFindStream(From, Received));
 }
 
 /// Sends a request of the entry instance \p From on to \p Leader, which that
@@ -178,12 +190,10 @@
                                                  Request Received,
                                                  std::string Leader) {
   const std::uint64_t Id = Received.id();
-  m_Node.log().write("request_relayed",
-                     {{"request", Received.has_begin() ? Received.begin().turn()
-                                                       : Received.end().turn()},
-                      {"from", From},
-                      {"number", Received.group()},
-                      {"leader", Leader}});
+  m_Node.log().write("request_relayed", {{"request", subjectOf(Received)},
+                                         {"from", From},
+                                         {"number", Received.group()},
+                                         {"leader", Leader}});
   Received.set_id(OtherGroupIdBase + m_OutgoingRequests.nextId());
   LinkMessage Message;
   *Message.mutable_request() = Received;
@@ -211,6 +221,10 @@
   if (Group.m_State.coalesce(From, Received) ||
       m_SlotRequests.coalesce(From, Received))
     return;
+  if (!Begin.resumes().empty()) {
+    onTakeUp(From, Received);
+    return;
+  }
   if (!Begin.previous().empty() &&
       !Group.m_State.ledger().hasTurn(Begin.organisation(), Begin.previous()))
     web::spawn(m_Node.io().get_executor(), "begin_from_other_group",
@@ -246,6 +260,8 @@
   if (Received.has_begin()) {
     m_Node.metrics().counter(metrics::names::TurnsBegun).add();
     *Command.mutable_begin() = Received.begin();
+  } else if (Received.has_stream()) {
+    *Command.mutable_stream() = Received.stream();
   } else {
     *Command.mutable_end() = Received.end();
   }
--- a/src/history/HistoryNode.h
+++ b/src/history/HistoryNode.h
@@ -92,6 +92,14 @@
                                              std::string Leader);
   void onBegin(const std::string &From, const Request &Received);
   void onEnd(const std::string &From, const Request &Received);
+  // Streams that may be taken up, in HistoryStreams.cpp.
+  void onTakeUp(const std::string &From, Request Received);
+  void onRecordStream(const std::string &From, const Request &Received);
+  boost::asio::awaitable<void> replyToFindStream(std::string From,
+                                                 Request Received);
+  /// Whether all commands that the group \p Number had committed before are
+  /// applied here.
+  boost::asio::awaitable<bool> confirmRead(std::uint32_t Number);
   void propose(const std::string &From, const Request &Received,
                const std::string &Endpoint);
   Reply retirementReply(std::uint32_t Number,
@@ -100,6 +108,10 @@
   void replyKind(const std::string &To, std::uint64_t Id,
                  messages::fleet::ReplyKind Kind);
 
+  /// Requests that begin something are rejected while this many commands of
+  /// their group wait for their commit: more than a leader commits in the time
+  /// that an entry instance waits.
+  static constexpr std::size_t MaxPendingCommands = 200;
   /// Identifiers of requests to other groups begin here; those of slot requests
   /// are lower.
   static constexpr std::uint64_t OtherGroupIdBase = std::uint64_t{1} << 62U;
--- a/src/history/HistorySlots.cpp
+++ b/src/history/HistorySlots.cpp
@@ -156,10 +156,14 @@
   const auto Pending = m_SlotRequests.take(Received.id());
   if (!Pending)
     return;
-  if (Received.kind() == messages::fleet::REPLY_BUSY)
+  if (Received.kind() == messages::fleet::REPLY_BUSY ||
+      Received.kind() == messages::fleet::REPLY_NO_ENGINE) {
     reply(Pending->m_Node, Pending->m_Request.id(), Received);
-  else
-    propose(Pending->m_Node, Pending->m_Request, Received.endpoint());
+    return;
+  }
+  Request Placed = Pending->m_Request;
+  Placed.mutable_begin()->set_software(Received.software());
+  propose(Pending->m_Node, Placed, Received.endpoint());
 }
 
 /// Begins a turn without a slot, since no allocator is reachable: the entry
--- a/src/history/HistoryStateMachine.cpp
+++ b/src/history/HistoryStateMachine.cpp
@@ -3,6 +3,7 @@
 #include "base/Error.h"
 #include "messages/Parse.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace psp::history {
@@ -22,12 +23,24 @@
     return messages::fleet::REPLY_NO_SUCH_TURN;
   case BeginOutcome::AlreadyEnded:
     return messages::fleet::REPLY_REFUSED;
+  case BeginOutcome::StreamUnknown:
+    return messages::fleet::REPLY_STREAM_UNKNOWN;
   }
   return messages::fleet::REPLY_UNAVAILABLE;
 }
 
 } // namespace
 
+template <typename Message>
+std::pair<HistoryStateMachine::CommandKind, std::string>
+HistoryStateMachine::subjectOf(const Message &Command) {
+  if (Command.has_begin())
+    return {CommandKind::Begin, Command.begin().turn()};
+  if (Command.has_stream())
+    return {CommandKind::Stream, Command.stream().stream()};
+  return {CommandKind::End, Command.end().turn()};
+}
+
 void HistoryStateMachine::apply(std::uint64_t Index, std::string_view Command,
                                 std::uint64_t WallMs) {
   const auto Parsed = messages::parseMessage<messages::fleet::HistoryCommand>(
@@ -38,14 +51,14 @@
     return;
   const PendingCommand Pending = std::move(It->second);
   m_PendingCommands.erase(It);
-  const std::string &Turn =
-      Parsed.has_begin() ? Parsed.begin().turn() : Parsed.end().turn();
   Reply Answer;
   // The proposal was lost, and another leader's command is at its index.
-  if (Turn != Pending.m_Turn || Parsed.has_begin() != Pending.m_IsBegin)
+  if (subjectOf(Parsed) != std::pair(Pending.m_Kind, Pending.m_Turn))
     Answer.set_kind(messages::fleet::REPLY_NOT_LEADER);
   else if (Parsed.has_begin())
-    Answer = makeBeginReply(Parsed.begin(), Pending);
+    Answer = makeBeginReply(Parsed.begin(), Pending, WallMs);
+  else if (Parsed.has_stream())
+    Answer = makeStreamReply(Parsed.stream());
   else
     Answer = makeEndReply(Parsed.end(), Pending);
   Answer.set_id(Pending.m_RequestId);
@@ -53,7 +66,8 @@
 }
 
 Reply HistoryStateMachine::makeBeginReply(
-    const messages::fleet::BeginTurn &Begin, const PendingCommand &Pending) {
+    const messages::fleet::BeginTurn &Begin, const PendingCommand &Pending,
+    std::uint64_t WallMs) {
   Reply Answer;
   const BeginOutcome Outcome = m_Ledger.lastBeginOutcome();
   Answer.set_kind(kindOf(Outcome));
@@ -73,6 +87,26 @@
     Answer.set_kind(messages::fleet::REPLY_NOT_LEADER);
   }
   Answer.set_endpoint(Pending.m_Endpoint);
+  const turns::StreamVersions &Streams = m_Ledger.streams();
+  if (const auto *Own = Streams.find(Begin.organisation(), Begin.turn()))
+    Answer.set_software(Own->m_Software);
+  if (const auto *Earlier =
+          Streams.find(Begin.organisation(), Begin.resumes())) {
+    Answer.set_software(Earlier->m_Software);
+    Answer.set_age_ms(WallMs - std::min(WallMs, Earlier->m_RecordedMs));
+  }
+  return Answer;
+}
+
+Reply HistoryStateMachine::makeStreamReply(
+    const messages::fleet::RecordStream &Recorded) const {
+  Reply Answer;
+  const auto *Version =
+      m_Ledger.streams().find(Recorded.organisation(), Recorded.stream());
+  if (Version)
+    Answer.set_software(Version->m_Software);
+  else
+    Answer.set_kind(messages::fleet::REPLY_REFUSED);
   return Answer;
 }
 
@@ -102,10 +136,9 @@
 
 bool HistoryStateMachine::coalesce(const std::string &Node,
                                    const Request &Repeated) {
-  const std::string &Turn =
-      Repeated.has_begin() ? Repeated.begin().turn() : Repeated.end().turn();
+  const auto Subject = subjectOf(Repeated);
   for (auto &[Index, Pending] : m_PendingCommands) {
-    if (Pending.m_Turn != Turn || Pending.m_IsBegin != Repeated.has_begin())
+    if (Subject != std::pair(Pending.m_Kind, Pending.m_Turn))
       continue;
     Pending.m_Node = Node;
     Pending.m_RequestId = Repeated.id();
@@ -119,14 +152,13 @@
                                       const std::string &Node,
                                       const Request &Proposed,
                                       const std::string &Endpoint) {
+  auto [Kind, Turn] = subjectOf(Proposed);
   m_PendingCommands[Index] = {.m_Node = Node,
                               .m_RequestId = Proposed.id(),
-                              .m_Turn = Proposed.has_begin()
-                                            ? Proposed.begin().turn()
-                                            : Proposed.end().turn(),
+                              .m_Turn = std::move(Turn),
                               .m_Service = Proposed.begin().service(),
                               .m_Endpoint = Endpoint,
-                              .m_IsBegin = Proposed.has_begin(),
+                              .m_Kind = Kind,
                               .m_KeepsTurn = Proposed.end().keep()};
 }
 
--- a/src/history/HistoryStateMachine.h
+++ b/src/history/HistoryStateMachine.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace psp::history {
@@ -80,18 +81,24 @@
   const turns::TurnLedger &ledger() const { return m_Ledger; }
 
 private:
+  enum class CommandKind { Begin, End, Stream };
+
   struct PendingCommand {
     std::string m_Node;
     std::uint64_t m_RequestId = 0;
-    std::string m_Turn;
+    std::string m_Turn; ///< Or the stream that is recorded.
     std::string m_Service;
     std::string m_Endpoint;
-    bool m_IsBegin = false;
+    CommandKind m_Kind = CommandKind::Begin;
     bool m_KeepsTurn = false; ///< The request ends a turn that is retained.
   };
 
+  /// Kind of a request or of a command, and the turn or stream that it names.
+  template <typename Message>
+  static std::pair<CommandKind, std::string> subjectOf(const Message &Command);
   Reply makeBeginReply(const messages::fleet::BeginTurn &Begin,
-                       const PendingCommand &Pending);
+                       const PendingCommand &Pending, std::uint64_t WallMs);
+  Reply makeStreamReply(const messages::fleet::RecordStream &Recorded) const;
   Reply makeEndReply(const messages::fleet::EndTurn &End,
                      const PendingCommand &Pending) const;
 
--- a/src/history/HistoryTurnSearch.cpp
+++ b/src/history/HistoryTurnSearch.cpp
@@ -142,18 +142,9 @@
   }
   Result.set_kind(messages::fleet::REPLY_UNAVAILABLE);
   auto Text = Group.m_State.chainText(Wanted.organisation(), Wanted.turn());
-  if (!Text) {
-    const auto Ticket = m_Groups->beginRead(Number);
-    if (Ticket) {
-      link::Waiter Waiting(m_Node.io());
-      Group.m_ReadWaiters[*Ticket] = &Waiting;
-      const bool Confirmed = co_await Waiting.wait(FindTimeout);
-      Group.m_ReadWaiters.erase(*Ticket);
-      if (Confirmed) {
-        Text = Group.m_State.chainText(Wanted.organisation(), Wanted.turn());
-        Result.set_kind(messages::fleet::REPLY_NO_SUCH_TURN);
-      }
-    }
+  if (!Text && co_await confirmRead(Number)) {
+    Text = Group.m_State.chainText(Wanted.organisation(), Wanted.turn());
+    Result.set_kind(messages::fleet::REPLY_NO_SUCH_TURN);
   }
   if (Text) {
     Result.set_kind(messages::fleet::REPLY_OK);
@@ -162,4 +153,16 @@
   co_return Result;
 }
 
+asio::awaitable<bool> HistoryNode::confirmRead(std::uint32_t Number) {
+  HostedGroup &Group = *m_Hosted.at(Number);
+  const auto Ticket = m_Groups->beginRead(Number);
+  if (!Ticket)
+    co_return false;
+  link::Waiter Waiting(m_Node.io());
+  Group.m_ReadWaiters[*Ticket] = &Waiting;
+  const bool Confirmed = co_await Waiting.wait(FindTimeout);
+  Group.m_ReadWaiters.erase(*Ticket);
+  co_return Confirmed;
+}
+
 } // namespace psp::history
--- a/src/history/SlotAllocator.cpp
+++ b/src/history/SlotAllocator.cpp
@@ -14,6 +14,10 @@
   }
   if (m_Admission.coalesce(Turn))
     return;
+  if (lacksVersion(Begin.software())) {
+    m_Responses.push_back(respond(Turn, messages::fleet::REPLY_NO_ENGINE));
+    return;
+  }
   if (m_Admission.decide(Turn, load()) == turns::TurnAdmission::Decision::Begin)
     m_Responses.push_back(grant(Turn, Now));
 }
@@ -52,20 +56,45 @@
   return Sum;
 }
 
-SlotResponse SlotAllocator::grant(PendingTurn Turn, base::TimePoint Now) {
+/// Whether engines of the service are usable, but none of the version that a
+/// stream has to go on at.
+bool SlotAllocator::lacksVersion(const std::string &Software) const {
+  if (Software.empty())
+    return false;
+  bool AnyEngine = false;
+  bool AnyOfVersion = false;
+  m_Endpoints.forEachUsable(m_Service, [&](const fleet::EndpointState &Engine) {
+    AnyEngine = true;
+    AnyOfVersion = AnyOfVersion || Engine.software() == Software;
+  });
+  return AnyEngine && !AnyOfVersion;
+}
+
+SlotResponse SlotAllocator::respond(PendingTurn Turn,
+                                    messages::fleet::ReplyKind Kind) {
   SlotResponse Response{.m_Turn = std::move(Turn), .m_Reply = {}};
-  const auto &Request = Response.m_Turn.m_Request;
-  Response.m_Reply.set_id(Request.id());
-  Response.m_Reply.set_kind(messages::fleet::REPLY_OK);
-  Response.m_Reply.set_endpoint(m_Placement.place(Request, m_Endpoints, Now));
+  Response.m_Reply.set_id(Response.m_Turn.m_Request.id());
+  Response.m_Reply.set_kind(Kind);
+  return Response;
+}
+
+SlotResponse SlotAllocator::grant(PendingTurn Turn, base::TimePoint Now) {
+  const std::string Software = Turn.m_Request.begin().software();
+  const std::string Engine =
+      m_Placement.place(Turn.m_Request, m_Endpoints, Now);
+  // The last engine of the version may have left while the turn waited.
+  if (Engine.empty() && lacksVersion(Software))
+    return respond(std::move(Turn), messages::fleet::REPLY_NO_ENGINE);
+  SlotResponse Response = respond(std::move(Turn), messages::fleet::REPLY_OK);
+  Response.m_Reply.set_endpoint(Engine);
+  const fleet::EndpointState *State = m_Endpoints.find(Engine);
+  Response.m_Reply.set_software(State ? State->software() : Software);
   return Response;
 }
 
 SlotResponse SlotAllocator::reject(PendingTurn Turn,
                                    base::Duration RetryAfter) {
-  SlotResponse Response{.m_Turn = std::move(Turn), .m_Reply = {}};
-  Response.m_Reply.set_id(Response.m_Turn.m_Request.id());
-  Response.m_Reply.set_kind(messages::fleet::REPLY_BUSY);
+  SlotResponse Response = respond(std::move(Turn), messages::fleet::REPLY_BUSY);
   Response.m_Reply.set_wait_ms(
       static_cast<std::uint32_t>(base::wholeMilliseconds(RetryAfter)));
   return Response;
--- a/src/history/SlotAllocator.h
+++ b/src/history/SlotAllocator.h
@@ -52,6 +52,9 @@
   double newProgramShare() const { return m_Admission.newProgramShare(); }
 
 private:
+  bool lacksVersion(const std::string &Software) const;
+  static SlotResponse respond(PendingTurn Turn,
+                              messages::fleet::ReplyKind Kind);
   SlotResponse grant(PendingTurn Turn, base::TimePoint Now);
   SlotResponse reject(PendingTurn Turn, base::Duration RetryAfter);
 
--- a/src/metrics/Names.h
+++ b/src/metrics/Names.h
@@ -57,6 +57,10 @@
                                   "Turns that later turns may continue from"};
 inline const MetricName Announcements{"psp_announcements_total",
                                       "Announcements of endpoints taken"};
+/// Labels: outcome.
+inline const MetricName StreamsTakenUp{
+    "psp_streams_taken_up_total",
+    "Calls that take up a stream: went_on, unknown, no_endpoint"};
 inline const MetricName RequestsHeld{
     "psp_requests_held", "Requests kept from endpoints, known here"};
 inline const MetricName EndpointCrashes{
--- a/src/turns/EnginePlacement.cpp
+++ b/src/turns/EnginePlacement.cpp
@@ -39,7 +39,9 @@
   std::vector<const fleet::EndpointState *> Usable;
   Endpoints.forEachUsable(Begin.service(),
                           [&](const fleet::EndpointState &Candidate) {
-                            Usable.push_back(&Candidate);
+                            if (Begin.software().empty() ||
+                                Candidate.software() == Begin.software())
+                              Usable.push_back(&Candidate);
                           });
   const std::set<std::string> PrefixEngines =
       enginesOfPrefix(Begin.prompt_prefix(), Usable);
--- a/src/turns/EnginePlacement.h
+++ b/src/turns/EnginePlacement.h
@@ -70,7 +70,8 @@
       : m_Options(Options) {}
 
   /// Assigns the turn that \p BeginRequest begins to the engine with the lowest
-  /// cost and returns the engine's identifier, empty if no engine is usable. A
+  /// cost and returns the engine's identifier, empty if no engine is usable. If
+  /// the turn names a software version, other engines aren't. A
   /// turn that is placed already keeps its engine.
   std::string place(const messages::fleet::Request &BeginRequest,
                     const fleet::EndpointDirectory &Endpoints,
--- a/src/turns/TurnLedger.cpp
+++ b/src/turns/TurnLedger.cpp
@@ -48,6 +48,11 @@
     end(Index, Command.end(), WallMs);
   else if (Command.has_adopt())
     adopt(Index, Command.adopt(), WallMs);
+  else if (Command.has_stream())
+    m_Streams.record(
+        Command.stream().organisation(), Command.stream().stream(),
+        {.m_Software = Command.stream().software(), .m_RecordedMs = WallMs},
+        WallMs + Command.stream().retention_ms());
 }
 
 void TurnLedger::begin(const BeginTurn &Command, std::uint64_t WallMs) {
@@ -56,7 +61,29 @@
     m_LastBeginOutcome = BeginOutcome::NoSuchTurn;
     return;
   }
+  if (!Command.resumes().empty() &&
+      !m_Streams.find(Command.organisation(), Command.resumes())) {
+    m_LastBeginOutcome = BeginOutcome::StreamUnknown;
+    return;
+  }
   m_LastBeginOutcome = reserve(Command, WallMs);
+  if (m_LastBeginOutcome == BeginOutcome::Granted)
+    recordVersion(Command, WallMs);
+}
+
+/// A stream that takes up another one is of that one's version.
+void TurnLedger::recordVersion(const BeginTurn &Command, std::uint64_t WallMs) {
+  const std::uint64_t ExpiresMs = WallMs + Command.stream_retention_ms();
+  StreamVersion Version = {.m_Software = Command.software(),
+                           .m_RecordedMs = WallMs};
+  if (const StreamVersion *Earlier =
+          m_Streams.find(Command.organisation(), Command.resumes())) {
+    Version.m_Software = Earlier->m_Software;
+    m_Streams.extend(Command.organisation(), Command.resumes(), ExpiresMs);
+  }
+  if (Command.stream_retention_ms() > 0)
+    m_Streams.record(Command.organisation(), Command.turn(), std::move(Version),
+                     ExpiresMs);
 }
 
 TurnLedger::ProgramState &
@@ -147,6 +174,7 @@
                 });
   removeExpired(m_Programs, m_ProgramExpiry, WallMs,
                 [](const ProgramState &) {});
+  m_Streams.expire(WallMs);
 }
 
 std::optional<std::uint64_t> TurnLedger::oldestEntry() const {
@@ -216,6 +244,7 @@
     for (const std::string &Turn : State.m_Ended)
       Row.add_ended(Turn);
   }
+  m_Streams.save(Message);
   return Message.SerializeAsString();
 }
 
@@ -228,6 +257,7 @@
   m_Programs.clear();
   m_TurnExpiry.clear();
   m_ProgramExpiry.clear();
+  m_Streams.load(Message);
   for (const auto &Row : Message.turns())
     storeTurn(Row.key(),
               {.m_Previous = Row.previous().empty()
--- a/src/turns/TurnLedger.h
+++ b/src/turns/TurnLedger.h
@@ -7,6 +7,7 @@
 
 #include "generated/fleet.pb.h"
 #include "turns/ExpiryQueue.h"
+#include "turns/StreamVersions.h"
 
 #include <cstdint>
 #include <map>
@@ -23,7 +24,8 @@
   Granted,
   BudgetSpent,
   NoSuchTurn,
-  AlreadyEnded, ///< A late copy of a request whose turn has ended.
+  AlreadyEnded,  ///< A late copy of a request whose turn has ended.
+  StreamUnknown, ///< There is no record of the stream that it takes up.
 };
 
 struct TurnLedgerOptions {
@@ -71,6 +73,7 @@
 
   std::size_t turnCount() const { return m_Turns.size(); }
   std::size_t programCount() const { return m_Programs.size(); }
+  const StreamVersions &streams() const { return m_Streams; }
   /// Sum of the tokens charged and reserved, for tests and dumps.
   std::uint64_t committedTokens(const std::string &Organisation,
                                 const std::string &Program) const;
@@ -94,6 +97,7 @@
   void end(std::uint64_t Index, const EndTurn &Command, std::uint64_t WallMs);
   void retain(std::uint64_t Index, const EndTurn &Command,
               std::uint64_t WallMs);
+  void recordVersion(const BeginTurn &Command, std::uint64_t WallMs);
   void adopt(std::uint64_t Index, const messages::fleet::AdoptTurn &Command,
              std::uint64_t WallMs);
   void storeTurn(const Key &TurnKey, RetainedTurn Turn);
@@ -107,6 +111,7 @@
   std::unordered_map<Key, RetainedTurn> m_Turns;
   std::set<std::uint64_t> m_EntryIndexes; ///< Of all turns.
   std::unordered_map<Key, ProgramState> m_Programs;
+  StreamVersions m_Streams;
   ExpiryQueue m_TurnExpiry;
   ExpiryQueue m_ProgramExpiry;
   BeginOutcome m_LastBeginOutcome = BeginOutcome::Granted;
--- a/tests/correctness/GatewayPartsTest.cpp
+++ b/tests/correctness/GatewayPartsTest.cpp
@@ -167,7 +167,8 @@
   m_Connections.m_IdleAddresses = {"10.0.0.1:2"};
   for (int Call = 0; Call < 20; ++Call)
     EXPECT_EQ(
-        m_Placement.selectEndpoint("desk", "", {}, m_Directory, m_Now)->id(),
+        m_Placement.selectEndpoint("desk", "", {}, "", m_Directory, m_Now)
+            ->id(),
         "b");
   {
     SCOPED_TRACE(
@@ -175,7 +176,8 @@
     for (int Call = 0; Call < 7; ++Call)
       m_Placement.onSent("b");
     EXPECT_EQ(
-        m_Placement.selectEndpoint("desk", "", {}, m_Directory, m_Now)->id(),
+        m_Placement.selectEndpoint("desk", "", {}, "", m_Directory, m_Now)
+            ->id(),
         "a");
   }
 }
@@ -184,14 +186,16 @@
   m_Placement.onUnreachable("a", m_Now);
   for (int Call = 0; Call < 10; ++Call)
     EXPECT_EQ(
-        m_Placement.selectEndpoint("desk", "", {}, m_Directory, m_Now)->id(),
+        m_Placement.selectEndpoint("desk", "", {}, "", m_Directory, m_Now)
+            ->id(),
         "b");
   EXPECT_EQ(
-      m_Placement.selectEndpoint("desk", "", {"b"}, m_Directory, m_Now)->id(),
+      m_Placement.selectEndpoint("desk", "", {"b"}, "", m_Directory, m_Now)
+          ->id(),
       "a");
-  EXPECT_EQ(
-      m_Placement.selectEndpoint("desk", "", {"a", "b"}, m_Directory, m_Now),
-      nullptr);
+  EXPECT_EQ(m_Placement.selectEndpoint("desk", "", {"a", "b"}, "", m_Directory,
+                                       m_Now),
+            nullptr);
   {
     SCOPED_TRACE("it is tried again later");
     EXPECT_FALSE(m_Placement.isAvoided("a", m_Now + seconds(1)));
@@ -207,7 +211,7 @@
   for (int Call = 0; Call < 10; ++Call)
     m_Placement.onSent("b");
   EXPECT_EQ(
-      m_Placement.selectEndpoint("desk", "", {}, m_Directory, m_Now)->id(),
+      m_Placement.selectEndpoint("desk", "", {}, "", m_Directory, m_Now)->id(),
       "a");
 }
 
--- a/tests/correctness/PlatformDialectTest.cpp
+++ b/tests/correctness/PlatformDialectTest.cpp
@@ -141,14 +141,16 @@
   const ControlDialect Dialect;
   const std::string Valid =
       R"({"service":"m","address":"10.0.0.9:80","zone":"z","slots":12,)"
-      R"("state":"ready","seq":4,"born":17})";
+      R"("version":"v1","state":"ready","seq":4,"born":17})";
   const auto Call = Dialect.decode(announcement(Valid));
   const auto &State = std::get<coordinator::AnnounceCall>(Call).m_State;
   EXPECT_EQ(State.id(), "i-7");
   EXPECT_EQ(State.born(), 17U);
+  EXPECT_EQ(State.software(), "v1");
   for (const auto &Invalid :
        {std::string("{"), replaced(Valid, "\"seq\":4", "\"seq\":\"4\""),
-        replaced(Valid, "ready", "asleep"),
+        replaced(Valid, "ready", "asleep"), replaced(Valid, "\"v1\"", "1"),
+        replaced(Valid, "\"version\":\"v1\",", ""),
         replaced(Valid, "\"slots\":12,", ""), replaced(Valid, ":17", ":1.5")})
     EXPECT_THROW(Dialect.decode(announcement(Invalid)), base::UserError)
         << Invalid;
--- a/tests/error/OddAnnouncementTest.cpp
+++ b/tests/error/OddAnnouncementTest.cpp
@@ -33,10 +33,10 @@
 
 std::string bodyWith(const std::string &Field, const std::string &Value) {
   const std::string Fields[][2] = {
-      {"service", "\"m\""},  {"address", "\"10.0.0.9:80\""},
-      {"zone", "\"z\""},     {"slots", "12"},
-      {"seq", "4"},          {"born", "1799999999000"},
-      {"state", "\"ready\""}};
+      {"service", "\"m\""},   {"address", "\"10.0.0.9:80\""},
+      {"zone", "\"z\""},      {"slots", "12"},
+      {"seq", "4"},           {"born", "1799999999000"},
+      {"state", "\"ready\""}, {"version", "\"v1\""}};
   std::string Body;
   for (const auto &[Name, Usual] : Fields)
     Body += (Body.empty() ? "{\"" : ",\"") + Name +
@@ -99,8 +99,8 @@
 
 TEST(OddAnnouncementTest, ReasonsAreShort) {
   const std::string Long = "\"" + std::string(60'000, 'x') + "\"";
-  for (const char *Field :
-       {"service", "address", "zone", "slots", "seq", "born", "state"}) {
+  for (const char *Field : {"service", "address", "zone", "slots", "seq",
+                            "born", "state", "version"}) {
     const std::string Reason = reasonForBody(bodyWith(Field, Long));
     EXPECT_NE(Reason, "") << Field;
     EXPECT_LT(Reason.size(), MaxReasonBytes) << Field;
@@ -109,6 +109,18 @@
   EXPECT_NE(reasonForBody(bodyWith("service", "\"\xff\xfe\"")), "");
 }
 
+TEST(OddAnnouncementTest, TheSoftwareVersionIsText) {
+  for (const char *Value : {"1", "1.1", "null", "[]", "{}", "true"})
+    EXPECT_NE(reasonForBody(bodyWith("version", Value)), "") << Value;
+  const std::string Body = bodyWith("", "");
+  const std::string Field = ",\"version\":\"v1\"";
+  ASSERT_NE(Body.find(Field), std::string::npos);
+  EXPECT_NE(
+      reasonForBody(std::string(Body).erase(Body.find(Field), Field.size())),
+      "")
+      << "without a version";
+}
+
 TEST(OddAnnouncementTest, AddressIsIpv4WithAPort) {
   for (const char *Address :
        {"10.0.0.9", "10.0.0.9:", "10.0.0.9:0", "10.0.0.9:65536",
@@ -143,6 +155,7 @@
   State.set_service("m");
   State.set_address("10.0.0.9:65535");
   State.set_data_centre("z");
+  State.set_software("v1");
   const auto Accepts = [&](std::uint64_t Born, std::uint64_t Sequence) {
     State.set_born(Born);
     State.set_sequence(Sequence);
--- a/tests/fleet.cmake
+++ b/tests/fleet.cmake
@@ -27,6 +27,8 @@
 psp_test(long_prompt_placement_test correctness/LongPromptPlacementTest.cpp USES psp_turns)
 psp_test(token_desk_test correctness/TokenAllocatorTest.cpp USES psp_coordinator)
 psp_test(engine_desk_test correctness/SlotAllocatorTest.cpp USES psp_history)
+psp_test(stream_versions_test correctness/StreamVersionsTest.cpp USES psp_history)
+psp_test(stream_version_placement_test correctness/StreamVersionPlacementTest.cpp USES psp_history psp_gateway)
 psp_test(history_parts_test correctness/HistoryPartsTest.cpp USES psp_history)
 psp_test(group_memory_test correctness/GroupMemoryTest.cpp USES psp_history)
 psp_test(group_log_test correctness/GroupLogTest.cpp USES group_simulation)
--- a/tests/process/leaving.py
+++ b/tests/process/leaving.py
@@ -31,6 +31,7 @@
         self.fleet, self.kind, self.index = fleet, kind, index
         self.id, self.host = f"{kind}-{index}", f"127.8.{KINDS.index(kind)}.{index + 1}"
         self.born, self.sequence, self.leaving, self.over = 1, 0, False, False
+        self.software = "v1"
         self.reached = []  # The instance that sent it, for each request.
 
     async def start(self):
@@ -45,7 +46,7 @@
         while not self.over:
             self.sequence += 1
             body = json.dumps({"service": self.kind, "address": f"{self.host}:{ENDPOINT_PORT}", "zone": "zone-0",
-                               "slots": 8, "state": "ready", "seq": self.sequence, "born": self.born}).encode()
+                               "version": self.software, "slots": 8, "state": "ready", "seq": self.sequence, "born": self.born}).encode()
             for node in self.fleet.of("control"):
                 answer = await http(node.host, CONTROL_PORT, "POST",
                                     f"/pistachiospool/instances/{self.id}/heartbeat", body=body, timeout=1)
--- a/tests/process/odd_announcements.py
+++ b/tests/process/odd_announcements.py
@@ -39,7 +39,7 @@
             yield field, value
     yield "slots", "4294967295"
     yield "slots", "4294967304"
-    for field in ("service", "address", "zone", "state"):
+    for field in ("service", "address", "zone", "version", "state"):
         for value in ("4", "null", '""', "{}", nested(20000), nested(1500000), '"' + "x" * 50000 + '"'):
             yield field, value
     for port in ("0", "65536", "99999", "-1", "4294967296", "9" * 30, "", "x"):
@@ -71,7 +71,7 @@
         """Of a valid announcement of the first endpoint, as JSON texts."""
         endpoint = self.endpoints[SERVICE][0]
         return {"service": f'"{SERVICE}"', "address": f'"{endpoint.host}:{ENDPOINT_PORT}"', "zone": '"zone-0"',
-                "slots": "8", "state": '"ready"', "seq": str(endpoint.sequence + 1), "born": str(endpoint.born)}
+                "version": '"v1"', "slots": "8", "state": '"ready"', "seq": str(endpoint.sequence + 1), "born": str(endpoint.born)}
 
     @staticmethod
     def body(fields):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -47,7 +47,7 @@
         while not self.world.over:
             self.sequence += 1
             body = json.dumps({"service": self.service, "address": f"{self.host}:{ENDPOINT_PORT}",
-                               "zone": f"zone-{self.index % 3}", "slots": 8, "state": "ready",
+                               "zone": f"zone-{self.index % 3}", "version": "v1", "slots": 8, "state": "ready",
                                "seq": self.sequence, "born": 1}).encode()
             for node in random.sample(self.world.fleet.of("control"), 3):
                 answer = await http(node.host, CONTROL_PORT, "POST",
