A planned stop doesn't cut calls without an answer

What callers saw (other operators' report): requests that came late in the grace of a planned stop were taken and passed on, and cut at its end with no answer, among them requests that may not be repeated (LOST).

Cause: a stopping instance took requests for 3 s whatever time they had left, and exited 0.7 s before the end of its grace whatever ran. With a grace of less than 3.7 s it never closed its idle connections either. Class: work is taken without a look at whether it can be finished.

Change: a call whose deadline lies behind the end of the stop is refused at once as not run, and its connection closes. Calls from before the stop that still run 1 s before the end of the grace are answered: 502 if an endpoint has them, 503 if none has. Connections that wait close after 3 s or half of the time, whichever is earlier.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -48,6 +48,15 @@
       m_InactivityTimer(Owner.io()) {}
 
 asio::awaitable<bool> Call::run() {
+  struct Registration {
+    Gateway &m_Gateway;
+    std::uint64_t m_Id;
+    ~Registration() { m_Gateway.removeCall(m_Id); }
+  };
+  const Registration Registered{m_Gateway, m_Gateway.addCall([this] {
+                                  m_InstanceEnds = true;
+                                  abort();
+                                })};
   if (const auto Failure = co_await web::catchFailure(handle())) {
     const auto Unanswered = co_await web::catchFailure(answerFailure(Failure));
     if (Unanswered)
@@ -113,6 +122,13 @@
                             "the caller's deadline has already passed"));
     co_return;
   }
+  if (mayOutliveInstance()) {
+    closeIfIdle();
+    co_await refuse(Refusal(ErrorKind::Stopping,
+                            "this instance stops before the call's deadline",
+                            EndpointRetryDelay));
+    co_return;
+  }
   armDeadline();
   watchForDisconnect();
   if (auto Reason = holdRefusal()) {
@@ -458,6 +474,11 @@
       });
 }
 
+bool Call::mayOutliveInstance() const {
+  const auto CallsEndAt = m_Gateway.callsEndAt();
+  return CallsEndAt && m_Deadline > *CallsEndAt;
+}
+
 void Call::closeIfIdle() {
   if (m_Use != ConnectionUse::KeepForNextRequest)
     m_KeepAlive = false;
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -163,7 +163,11 @@
   /// Closes the connection after the response, unless a request that has been
   /// read would be lost.
   void closeIfIdle();
-  bool isCancelled() const { return m_CallerDisconnected || m_DeadlineExpired; }
+  /// Whether the call may last beyond the end of a planned stop.
+  bool mayOutliveInstance() const;
+  bool isCancelled() const {
+    return m_CallerDisconnected || m_DeadlineExpired || m_InstanceEnds;
+  }
   base::Duration timeLeft() const;
   /// Empty on public routes.
   std::string organisationName() const;
@@ -193,6 +197,7 @@
   bool m_Refused = false;
   bool m_CallerDisconnected = false; ///< The caller closed its connection.
   bool m_DeadlineExpired = false;    ///< The deadline has passed.
+  bool m_InstanceEnds = false;       ///< A planned stop is about to end.
   bool m_ResponseStarted = false; ///< The caller may have bytes of a response.
   std::function<void()> m_Abort;  ///< Aborts the pending operation.
 
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -145,11 +145,21 @@
   }
   if (m_CallerDisconnected)
     co_return;
+  if (isCancelled() && m_ResponseStarted) {
+    m_KeepAlive = false;
+    co_return;
+  }
+  if (m_InstanceEnds) {
+    m_KeepAlive = false;
+    const bool Sent = m_Executions > 0;
+    co_await refuse(
+        Refusal(Sent ? ErrorKind::OutcomeUnknown : ErrorKind::Stopping,
+                "this instance stops before the endpoint has answered",
+                Sent ? std::nullopt
+                     : std::optional<base::Duration>(EndpointRetryDelay)));
+    co_return;
+  }
   if (m_DeadlineExpired) {
-    if (m_ResponseStarted) {
-      m_KeepAlive = false;
-      co_return;
-    }
     co_await refuse(Refusal(m_Executions > 0 ? ErrorKind::DeadlineExceeded
                                              : ErrorKind::Overloaded,
                             "the call's deadline has passed"));
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -446,6 +446,27 @@
   finishWhenIdle();
 }
 
+std::optional<base::TimePoint> Gateway::callsEndAt() const {
+  if (!m_StoppingSince)
+    return std::nullopt;
+  return *m_StoppingSince + m_Node.settings().m_StopGrace -
+         m_Options.m_StopMargin - m_Options.m_StopAnswerTime;
+}
+
+std::uint64_t Gateway::addCall(std::function<void()> EndNow) {
+  m_Calls[++m_LastCallId] = std::move(EndNow);
+  return m_LastCallId;
+}
+
+/// Ends the calls that can't finish before this instance exits, so that their
+/// callers are answered.
+void Gateway::endCalls() {
+  m_EndingCalls = true;
+  m_Node.log().write("running_calls_ended", {{"count", m_Calls.size()}});
+  for (const auto &[Id, EndNow] : m_Calls)
+    EndNow();
+}
+
 std::uint64_t Gateway::addIdleConnection(std::function<void()> EndWait) {
   m_IdleConnections[++m_LastIdleId] = std::move(EndWait);
   return m_LastIdleId;
@@ -481,8 +502,14 @@
   // A call that has arrived is counted at the next check.
   const bool Idle =
       m_Closing && m_ActiveCalls == 0 && m_IdleConnections.empty();
-  if (!m_Closing && Elapsed >= m_Options.m_StopDrainTime)
+  const base::TimePoint CallsEndAt = callsEndAt().value();
+  // The connections close well before a short grace ends, too.
+  const base::Duration CloseAfter = std::min<base::Duration>(
+      m_Options.m_StopDrainTime, (CallsEndAt - *m_StoppingSince) / 2);
+  if (!m_Closing && Elapsed >= CloseAfter)
     closeIdleConnections();
+  if (!m_EndingCalls && base::readMonotonic() >= CallsEndAt)
+    endCalls();
   if (Idle ||
       Elapsed >= m_Node.settings().m_StopGrace - m_Options.m_StopMargin) {
     m_Node.finish();
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -75,6 +75,9 @@
   /// A process that ends closes its connections and its listening socket one
   /// after another, within this time.
   base::Duration m_ProcessEndTime = base::milliseconds(20);
+  /// Calls that still run at the end of a planned stop are answered in this
+  /// time before the instance exits.
+  base::Duration m_StopAnswerTime = base::milliseconds(300);
   /// A stopping instance exits this long before it would be killed.
   base::Duration m_StopMargin = base::milliseconds(700);
 };
@@ -145,6 +148,13 @@
   /// A uniform random number in [0, 1).
   double randomUnit();
 
+  /// When the calls that still run are ended; empty without a planned stop.
+  std::optional<base::TimePoint> callsEndAt() const;
+  /// Registers \p EndNow, which ends a running call. The result identifies it
+  /// for removeCall().
+  std::uint64_t addCall(std::function<void()> EndNow);
+  void removeCall(std::uint64_t Id) { m_Calls.erase(Id); }
+
   /// Whether the drain time of a planned stop is over, so that no more calls
   /// are accepted.
   bool isClosing() const { return m_Closing; }
@@ -195,6 +205,7 @@
   void stop();
   void finishWhenIdle();
   void closeIdleConnections();
+  void endCalls();
   void closeAcceptor();
 
   GatewayOptions m_Options;
@@ -229,6 +240,9 @@
   std::optional<base::TimePoint> m_StoppingSince;
   std::uint32_t m_ActiveCalls = 0;
   bool m_Closing = false;
+  bool m_EndingCalls = false;
+  std::uint64_t m_LastCallId = 0;
+  std::map<std::uint64_t, std::function<void()>> m_Calls; ///< Running ones.
   IdleLimit m_IdleLimit{fleet::CallerLimits{}.m_IdleTimeout};
   std::uint64_t m_LastIdleId = 0;
   std::map<std::uint64_t, std::function<void()>> m_IdleConnections;
