An answer to HEAD doesn't wait for a body

What callers saw: a HEAD request was answered 504 at its deadline, with a body that the caller took for the beginning of the next answer on its connection.

Cause: the parser of responses waited for the body whose length an answer to HEAD only names, and a refusal was written with its body whatever the method.

Change: the parser of an answer to HEAD expects no body, the length or the coding is passed on as the endpoint gave it, also on a route of streams, and refusals to HEAD have no body.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -389,6 +389,8 @@
   Response ErrorResponse = m_Gateway.protocol().makeRefusal(m_Metadata, Reason);
   ErrorResponse.keep_alive(m_KeepAlive);
   ErrorResponse.prepare_payload();
+  if (isHeadRequest())
+    ErrorResponse.body().clear(); // The length stays that of the body.
   m_ResponseStarted = true;
   boost::system::error_code Error;
   co_await http::async_write(m_CallerSocket, ErrorResponse,
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -173,6 +173,9 @@
   std::string organisationName() const;
   /// Zero is the highest.
   std::uint32_t priority() const;
+  bool isHeadRequest() const {
+    return m_Request.method() == boost::beast::http::verb::head;
+  }
   const std::string &fingerprint();
   void checkLostCall(LostCall::Kind Kind, const fleet::EndpointState &Endpoint,
                      TimePoint SentAt);
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -76,6 +76,15 @@
 
 constexpr std::string_view LastChunk = "0\r\n\r\n";
 
+/// The framing that an answer to HEAD names for the body that it doesn't have.
+std::string headFraming(const EndpointChannel &Channel) {
+  if (Channel.length())
+    return "Content-Length: " + std::to_string(*Channel.length()) + "\r\n";
+  return Channel.framing() == ResponseFraming::Chunked
+             ? "Transfer-Encoding: chunked\r\n"
+             : "";
+}
+
 } // namespace
 
 asio::awaitable<void> Call::sendToEndpoints() {
@@ -292,7 +301,8 @@
     logSend(Record, Unusable ? "unusable" : "failed");
     co_return SendOutcome::Unknown;
   }
-  const bool Streams = m_Route->m_Kind == fleet::CallKind::Stream && Success;
+  const bool Streams =
+      m_Route->m_Kind == fleet::CallKind::Stream && Success && !isHeadRequest();
   const SendOutcome Outcome = Streams ? co_await forwardStream(*Channel)
                                       : co_await forwardBuffered(*Channel);
   logSend(Record, outcomeName(Outcome));
@@ -455,7 +465,9 @@
   if (!co_await confirmEnd(Channel))
     co_return isCancelled() ? SendOutcome::Ended : SendOutcome::Unknown;
   const std::string Head = startResponse(
-      Channel, "Content-Length: " + std::to_string(Body.size()) + "\r\n");
+      Channel, isHeadRequest()
+                   ? headFraming(Channel)
+                   : "Content-Length: " + std::to_string(Body.size()) + "\r\n");
   if (!co_await write(Head + Body))
     co_return SendOutcome::Broken;
   setResetOnClose(false);
--- a/src/gateway/EndpointChannel.cpp
+++ b/src/gateway/EndpointChannel.cpp
@@ -96,6 +96,7 @@
 asio::awaitable<bool> EndpointChannel::send(Request &Out) {
   boost::system::error_code Error;
   m_Used = true;
+  m_SentHead = Out.method() == http::verb::head;
   co_await http::async_write(m_Socket, Out,
                              asio::redirect_error(asio::use_awaitable, Error));
   co_return !Error;
@@ -107,6 +108,7 @@
     m_Parser = std::make_unique<Parser>();
     m_Parser->header_limit(MaxHeadBytes);
     m_Parser->body_limit(boost::none);
+    m_Parser->skip(m_SentHead);
     boost::system::error_code Error;
     co_await http::async_read_header(
         m_Socket, m_Buffer, *m_Parser,
