An unknown stream costs a round to the group, not an entry of its log

The leader now confirms the answer with a round to its members, as it does for unknown turns, and an instance refuses names above 128 bytes without a message. A take-up that also continues an earlier turn finds that turn in other groups as any turn does. stream_versions.py passes.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -268,7 +268,7 @@
 
 /// Reserves the turn's tokens and fetches the text of the turns before it.
 asio::awaitable<std::optional<Refusal>> Call::beginTurn() {
-  if (takesUp() && m_Metadata.m_Resumes.empty())
+  if (takesUp() && !namesStream())
     co_return takeUpRefusal(ErrorKind::StreamUnknown);
   const auto Group =
       m_Gateway.groupOf(organisationName(), m_Metadata.m_Program);
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -139,6 +139,9 @@
   bool canBeTakenUp() const;
   /// Whether this call takes up an earlier stream.
   bool takesUp() const;
+  /// Whether this call names the stream that it takes up as its attempts are
+  /// named.
+  bool namesStream() const;
   void describeStream(messages::fleet::BeginTurn &Begin) const;
   Refusal takeUpRefusal(base::ErrorKind Kind);
   /// Finds the version of the stream that a call without a token budget takes
--- a/src/gateway/CallStreams.cpp
+++ b/src/gateway/CallStreams.cpp
@@ -20,6 +20,8 @@
 /// a new stream waits for the record, which is on its way while the endpoint
 /// prepares the event.
 constexpr base::Duration StreamRequestTimeout = base::milliseconds(250);
+/// A stream with a longer name is not recorded, in bytes.
+constexpr std::size_t MaxStreamNameBytes = 128;
 
 } // namespace
 
@@ -32,6 +34,11 @@
          (!m_Metadata.m_LastEventId.empty() || !m_Metadata.m_Resumes.empty());
 }
 
+bool Call::namesStream() const {
+  return !m_Metadata.m_Resumes.empty() &&
+         m_Metadata.m_Resumes.size() <= MaxStreamNameBytes;
+}
+
 void Call::describeStream(messages::fleet::BeginTurn &Begin) const {
   if (!canBeTakenUp())
     return;
@@ -50,7 +57,7 @@
 }
 
 asio::awaitable<std::optional<Refusal>> Call::findStream() {
-  if (m_Metadata.m_Resumes.empty())
+  if (!namesStream())
     co_return takeUpRefusal(ErrorKind::StreamUnknown);
   const auto Group =
       m_Gateway.groupOf(organisationName(), m_Metadata.m_Resumes);
@@ -82,7 +89,8 @@
 
 void Call::recordStreamAsync(const fleet::EndpointState &Endpoint) {
   if (!canBeTakenUp() || m_SoftwareRecorded || m_StreamRecord ||
-      Endpoint.software().empty())
+      Endpoint.software().empty() ||
+      m_Metadata.m_Id.size() > MaxStreamNameBytes)
     return;
   m_Software = Endpoint.software();
   m_StreamRecord = std::make_shared<StreamRecord>(m_Gateway.io());
@@ -138,8 +146,8 @@
   m_Gateway.node().log().write(
       "stream_taken_up",
       {{"request", m_Metadata.m_Id},
-       {"resumes", m_Metadata.m_Resumes},
-       {"after_event", m_Metadata.m_LastEventId},
+       {"resumes", m_Metadata.m_Resumes.substr(0, MaxStreamNameBytes)},
+       {"after_event", m_Metadata.m_LastEventId.substr(0, MaxStreamNameBytes)},
        {"organisation", organisationName()},
        {"service", m_Service},
        {"software", m_Software},
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -222,9 +222,18 @@
       m_SlotRequests.coalesce(From, Received))
     return;
   if (!Begin.resumes().empty()) {
-    onTakeUp(From, Received);
+    web::spawn(m_Node.io().get_executor(), "begin_take_up",
+               beginTakeUp(From, Received));
     return;
   }
+  findChainAndSlot(From, Received);
+}
+
+/// Finds the earlier turns of a turn that begins, and a slot for it.
+void HistoryNode::findChainAndSlot(const std::string &From,
+                                   const Request &Received) {
+  const auto &Begin = Received.begin();
+  const HostedGroup &Group = *m_Hosted.at(Received.group());
   if (!Begin.previous().empty() &&
       !Group.m_State.ledger().hasTurn(Begin.organisation(), Begin.previous()))
     web::spawn(m_Node.io().get_executor(), "begin_from_other_group",
--- a/src/history/HistoryNode.h
+++ b/src/history/HistoryNode.h
@@ -91,9 +91,17 @@
   boost::asio::awaitable<void> relayToLeader(std::string From, Request Received,
                                              std::string Leader);
   void onBegin(const std::string &From, const Request &Received);
+  void findChainAndSlot(const std::string &From, const Request &Received);
   void onEnd(const std::string &From, const Request &Received);
   // Streams that may be taken up, in HistoryStreams.cpp.
-  void onTakeUp(const std::string &From, Request Received);
+  struct FoundStream {
+    messages::fleet::ReplyKind m_Kind = messages::fleet::REPLY_STREAM_UNKNOWN;
+    turns::StreamVersion m_Version;
+  };
+  boost::asio::awaitable<void> beginTakeUp(std::string From, Request Received);
+  boost::asio::awaitable<FoundStream> findStream(std::uint32_t Number,
+                                                 std::string Organisation,
+                                                 std::string Stream);
   void onRecordStream(const std::string &From, const Request &Received);
   boost::asio::awaitable<void> replyToFindStream(std::string From,
                                                  Request Received);
--- a/src/history/HistoryStreams.cpp
+++ b/src/history/HistoryStreams.cpp
@@ -8,28 +8,53 @@
 namespace asio = boost::asio;
 
 /// Begins a turn that takes up a stream, on an engine of the version that began
-/// it. Whether the stream is unknown is decided by the group's own log, since a
-/// leader that is cut off may lack its record.
-void HistoryNode::onTakeUp(const std::string &From, Request Received) {
-  const auto &Begin = Received.begin();
-  const turns::StreamVersion *Version =
-      m_Hosted.at(Received.group())
-          ->m_State.ledger()
-          .streams()
-          .find(Begin.organisation(), Begin.resumes());
+/// it.
+asio::awaitable<void> HistoryNode::beginTakeUp(std::string From,
+                                               Request Received) {
+  auto &Begin = *Received.mutable_begin();
+  const FoundStream Found = co_await findStream(
+      Received.group(), Begin.organisation(), Begin.resumes());
   m_Node.log().write(
       "stream_searched",
       {{"request", Begin.turn()},
        {"resumes", Begin.resumes()},
        {"organisation", Begin.organisation()},
-       {"software", Version ? Version->m_Software : std::string()},
-       {"found", Version ? "yes" : "no"}});
+       {"software", Found.m_Version.m_Software},
+       {"found", messages::fleet::ReplyKind_Name(Found.m_Kind)}});
+  if (Found.m_Kind != messages::fleet::REPLY_OK) {
+    replyKind(From, Received.id(), Found.m_Kind);
+    co_return;
+  }
+  Begin.set_software(Found.m_Version.m_Software);
+  // A repeated request may have come meanwhile.
+  if (!m_Hosted.at(Received.group())->m_State.coalesce(From, Received) &&
+      !m_SlotRequests.coalesce(From, Received))
+    findChainAndSlot(From, Received);
+}
+
+/// Looks up a stream in a group that this node leads. That the group has no
+/// record of it is confirmed by a round to the group's members, since a leader
+/// that is cut off may lack the record.
+asio::awaitable<HistoryNode::FoundStream>
+HistoryNode::findStream(std::uint32_t Number, std::string Organisation,
+                        std::string Stream) {
+  const auto Find = [&]() -> const turns::StreamVersion * {
+    return m_Hosted.at(Number)->m_State.ledger().streams().find(Organisation,
+                                                                Stream);
+  };
+  FoundStream Result;
+  const turns::StreamVersion *Version = Find();
   if (!Version) {
-    propose(From, Received, {});
-    return;
+    const bool Confirmed = co_await confirmRead(Number);
+    Result.m_Kind = Confirmed ? messages::fleet::REPLY_STREAM_UNKNOWN
+                              : messages::fleet::REPLY_NOT_LEADER;
+    Version = Find();
   }
-  Received.mutable_begin()->set_software(Version->m_Software);
-  requestSlot(From, Received);
+  if (Version) {
+    Result.m_Kind = messages::fleet::REPLY_OK;
+    Result.m_Version = *Version;
+  }
+  co_return Result;
 }
 
 /// Records a stream that no turn of this group begins, or whose turn has begun
@@ -47,26 +72,15 @@
 
 asio::awaitable<void> HistoryNode::replyToFindStream(std::string From,
                                                      Request Received) {
-  const auto &Wanted = Received.find_stream();
-  const std::uint32_t Number = Received.group();
-  const auto Find = [&] {
-    return m_Hosted.at(Number)->m_State.ledger().streams().find(
-        Wanted.organisation(), Wanted.stream());
-  };
+  const FoundStream Found = co_await findStream(
+      Received.group(), Received.find_stream().organisation(),
+      Received.find_stream().stream());
+  constexpr std::uint64_t MicrosecondsPerMs = 1000;
+  const std::uint64_t NowMs = base::readClocks().m_Wall / MicrosecondsPerMs;
   Reply Outgoing;
-  const turns::StreamVersion *Version = Find();
-  if (!Version) {
-    const bool Confirmed = co_await confirmRead(Number);
-    Version = Find();
-    Outgoing.set_kind(Confirmed ? messages::fleet::REPLY_STREAM_UNKNOWN
-                                : messages::fleet::REPLY_UNAVAILABLE);
-  }
-  if (Version) {
-    const std::uint64_t NowMs = base::readClocks().m_Wall / 1000;
-    Outgoing.set_kind(messages::fleet::REPLY_OK);
-    Outgoing.set_software(Version->m_Software);
-    Outgoing.set_age_ms(NowMs - std::min(NowMs, Version->m_RecordedMs));
-  }
+  Outgoing.set_kind(Found.m_Kind);
+  Outgoing.set_software(Found.m_Version.m_Software);
+  Outgoing.set_age_ms(NowMs - std::min(NowMs, Found.m_Version.m_RecordedMs));
   reply(From, Received.id(), std::move(Outgoing));
 }
 
