A leader that can't confirm its state doesn't answer a take-up

Found in reading the change: a leader that lost its office while it confirmed that a stream is unknown could go on with the turn if the record had arrived meanwhile. It now says that it isn't the leader.

--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -12,7 +12,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <charconv>
+#include <cstring>
 #include <sys/socket.h>
 #include <utility>
 
@@ -590,8 +592,11 @@
     return;
   const linger Value = {.l_onoff = Enable ? 1 : 0, .l_linger = 0};
   // Asio's own option is undone when a socket is destroyed.
-  ::setsockopt(m_CallerSocket.native_handle(), SOL_SOCKET, SO_LINGER, &Value,
-               sizeof(Value));
+  if (::setsockopt(m_CallerSocket.native_handle(), SOL_SOCKET, SO_LINGER,
+                   &Value, sizeof(Value)) != 0)
+    m_Gateway.node().log().write(
+        "linger_not_set",
+        {{"request", m_Metadata.m_Id}, {"error", std::strerror(errno)}});
 }
 
 /// Whether \p Tokens are more than the turn may generate, counting the tokens
--- a/src/history/HistoryStateMachine.cpp
+++ b/src/history/HistoryStateMachine.cpp
@@ -136,9 +136,9 @@
 
 bool HistoryStateMachine::coalesce(const std::string &Node,
                                    const Request &Repeated) {
-  const auto Subject = subjectOf(Repeated);
+  const auto [Kind, Turn] = subjectOf(Repeated);
   for (auto &[Index, Pending] : m_PendingCommands) {
-    if (Subject != std::pair(Pending.m_Kind, Pending.m_Turn))
+    if (Pending.m_Kind != Kind || Pending.m_Turn != Turn)
       continue;
     Pending.m_Node = Node;
     Pending.m_RequestId = Repeated.id();
--- a/src/history/HistoryStreams.cpp
+++ b/src/history/HistoryStreams.cpp
@@ -46,8 +46,10 @@
   const turns::StreamVersion *Version = Find();
   if (!Version) {
     const bool Confirmed = co_await confirmRead(Number);
-    Result.m_Kind = Confirmed ? messages::fleet::REPLY_STREAM_UNKNOWN
-                              : messages::fleet::REPLY_NOT_LEADER;
+    if (!Confirmed) {
+      Result.m_Kind = messages::fleet::REPLY_NOT_LEADER;
+      co_return Result;
+    }
     Version = Find();
   }
   if (Version) {
