A take-up that names no stream goes on where there is one version

Cause: no name was treated as an unknown stream, which with one version in the service leaves nothing unknown.

Change: without a name the call is restricted to the only version that the service has had, as far as the instance knows, endpoints that left within a minute included; with several it is refused as before.

Evidence: stream_versions.py, 24 of 24 such take-ups refused before and none now, the part with two versions unchanged.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -268,7 +268,7 @@
 
 /// Reserves the turn's tokens and fetches the text of the turns before it.
 asio::awaitable<std::optional<Refusal>> Call::beginTurn() {
-  if (takesUp() && !namesStream())
+  if (takesUp() && !namesStream() && !assumeOnlyVersion())
     co_return takeUpRefusal(ErrorKind::StreamUnknown);
   const auto Group =
       m_Gateway.groupOf(organisationName(), m_Metadata.m_Program);
@@ -330,7 +330,7 @@
     // A leader with earlier software doesn't know of versions.
     if (takesUp() && m_Software.empty())
       co_return takeUpRefusal(ErrorKind::StreamUnknown);
-    m_SoftwareRecorded = !m_Software.empty();
+    m_SoftwareRecorded = !LeaderReply->software().empty();
     co_return std::nullopt;
   }
   m_TurnOpen = false;
--- a/src/gateway/CallStreams.cpp
+++ b/src/gateway/CallStreams.cpp
@@ -5,6 +5,7 @@
 #include "web/Spawn.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace psp::gateway {
@@ -39,9 +40,24 @@
          m_Metadata.m_Resumes.size() <= MaxStreamNameBytes;
 }
 
+bool Call::assumeOnlyVersion() {
+  if (!m_Metadata.m_Resumes.empty())
+    return false;
+  // Endpoints that have left are among them for a minute.
+  std::set<std::string> Versions;
+  for (const fleet::EndpointState &Endpoint : m_Gateway.endpoints().all())
+    if (Endpoint.service() == m_Service)
+      Versions.insert(Endpoint.software());
+  if (Versions.size() != 1)
+    return false;
+  m_Software = *Versions.begin();
+  return !m_Software.empty();
+}
+
 void Call::describeStream(messages::fleet::BeginTurn &Begin) const {
   if (!canBeTakenUp())
     return;
+  Begin.set_software(m_Software);
   Begin.set_resumes(m_Metadata.m_Resumes);
   Begin.set_stream_retention_ms(
       base::wholeMilliseconds(m_Route->m_Timeout + TakeUpTime));
@@ -57,6 +73,8 @@
 }
 
 asio::awaitable<std::optional<Refusal>> Call::findStream() {
+  if (assumeOnlyVersion())
+    co_return std::nullopt;
   if (!namesStream())
     co_return takeUpRefusal(ErrorKind::StreamUnknown);
   const auto Group =
@@ -83,7 +101,8 @@
 }
 
 void Call::onStreamFound(const messages::fleet::Reply &Found) {
-  m_Software = Found.software();
+  if (!Found.software().empty())
+    m_Software = Found.software();
   m_StreamAge = base::milliseconds(Found.age_ms());
 }
 
@@ -151,7 +170,9 @@
        {"organisation", organisationName()},
        {"service", m_Service},
        {"software", m_Software},
-       {"known_by", m_Software.empty() ? "none" : "history"},
+       {"known_by", m_Software.empty() ? "none"
+                    : namesStream()    ? "history"
+                                       : "service"},
        {"age_us", static_cast<std::uint64_t>(m_StreamAge.count())},
        {"endpoint", m_CurrentEndpoint},
        {"outcome", Outcome}});
--- a/tests/process/stream_versions.py
+++ b/tests/process/stream_versions.py
@@ -28,13 +28,14 @@
 GONE_S = 1.0  # In which all nodes hear of endpoints that have left.
 BEGIN_TRIES = 3
 ROUTES = ("turn", "bare")  # With and without a token budget.
+LONE_ROUTES = ("lone-turn", "lone-bare")  # Of a service with one version.
 
 
 class VersionedEndpoint(Endpoint):
     """Generates EVENTS events. A path that ends with /break resets after the first one of an attempt."""
 
     def __init__(self, fleet, index, software):
-        super().__init__(fleet, "stream", index)
+        super().__init__(fleet, "whole" if software == "lone" else "stream", index)
         self.software = software
 
     async def _serve(self, reader, writer):
@@ -85,15 +86,19 @@
 class StreamVersionsTest(Test):
     def __init__(self, data):
         super().__init__(data)
-        self.endpoints = {"stream": [VersionedEndpoint(self.fleet, i, "v1" if i < 2 else "v2") for i in range(4)]}
+        self.endpoints = {"stream": [VersionedEndpoint(self.fleet, i, "v1" if i < 2 else "v2") for i in range(4)],
+                          "whole": [VersionedEndpoint(self.fleet, i, "lone") for i in range(2)]}
 
     async def configure(self):
         route = {"host": HOST, "timeout_ms": 3000, "attempts": 1, "retention_s": 60.0, "service": "stream",
                  "kind": "streaming", "resumable": True}
         organisations = [{"name": name, "api_keys": [key], "rate_per_s": 0, "burst": 0}
                          for name, key in (("org", KEY), ("other", OTHER_KEY))]
-        body = json.dumps({"version": 1, "routes": [dict(route, name=r, path_prefix=f"/{r}/") for r in ROUTES],
-                           "services": [{"name": "stream", "engine": {"slots": 8, "tokens_per_event": 1}}],
+        routes = [dict(route, name=r, path_prefix=f"/{r}/") for r in ROUTES]
+        routes += [dict(route, name=r, path_prefix=f"/{r}/", service="whole") for r in LONE_ROUTES]
+        body = json.dumps({"version": 1, "routes": routes,
+                           "services": [{"name": name, "engine": {"slots": 8, "tokens_per_event": 1}}
+                                        for name in ("stream", "whole")],
                            "tenants": organisations}).encode()
         while not (answer := await http(self.fleet.of("control")[0].host, CONTROL_PORT, "POST",
                                         "/pistachiospool/configuration/replace", body=body)) or answer[0] != 200:
@@ -104,7 +109,7 @@
         self.last_id += 1
         request = f"{self.last_id:016x}"
         headers = [("Host", HOST), ("Request-Id", request), ("X-Api-Key", stream.key), ("Deadline-Remaining", "3000")]
-        if stream.route == "turn":
+        if stream.route.endswith("turn"):
             headers += [("Program-Id", stream.name), ("Token-Budget", "999"), ("Token-Counts", "1,12")]
         if stream.last_event():
             headers.append(("Last-Event-Id", str(stream.last_event())))
@@ -212,6 +217,14 @@
             self.expect(stream.refused == "stream-unknown", f"{route}, of another organisation: {stream.refused}")
         self.expect(sum(len(e.reached) for e in self.endpoints["stream"]) == reached, "none of them reached an endpoint")
 
+    async def check_one_version(self):
+        """Callers that don't name their streams, of a service with one version."""
+        streams = [await self.begin(LONE_ROUTES[i % 2], i % 2) for i in range(STREAMS)]
+        for i, stream in enumerate(streams):
+            stream.begun_by = None
+            await self.attempt(stream, (i + 1) % 2, False)
+        self.expect_joined(streams, "without a name, one version", STREAMS)
+
     async def check_gone(self):
         streams = await self.begin_some()
         for endpoint in self.endpoints["stream"][:2]:
@@ -230,6 +243,7 @@
     async def check(self):
         await self.check_chains()
         await self.check_unknown()
+        await self.check_one_version()
         await self.check_restarts()
         await self.check_gone()
         for event in ("event=stream_taken_up", "event=stream_searched"):
