A pause in which an endpoint accepts nothing ends no answer

Callers saw answers end in the middle, or 502, on endpoints that fell silent for a second or so and went on; and sound requests were held as if they ended endpoints.

Cause: one sign, no new connection within 300 ms, stood for the end of an endpoint. One that pauses with a full queue of connections, or is out of reach for a moment, shows the same sign. It was read in three places: for a call that waits (abandoned after 1.3 s of silence), at the end of an answer without framing (passed on as broken off), and after a lost connection (counted as a crash, three of which hold the request).

Change: an attempt to connect shows one of three things: the endpoint accepts, refuses, or is silent. Refused: its process has ended. Silent: it is probed again, for two seconds, unless its whole data centre is silent (no control or history node there is heard, others are) or another endpoint can still answer the caller (EndpointSilence). An unframed end waits in the same way until the endpoint shows that it runs. Only an endpoint that refuses counts as crashed.

Evidence: tests/process/paused_endpoint_abandoned.py, a listening socket whose queue is full for 1.6 s. On 6 of its 9 checks fail: 502 after 1.30 s, a stream cut after 1.50 s, a whole unframed answer passed on as cut, a sound request held, and two that follow from the hold. With the change all pass; an endpoint that is silent for good is given up after 2.10 s (1.50 s before), one in a silent data centre after 1.50 s. silent_endpoint.py passes.

endpoint_silent and endpoint_lost_call say reachable=unknown for silent ones, and endpoint_silent says how long, whether the data centre is silent, and whether the call was abandoned.

--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -228,7 +228,8 @@
   std::uint32_t m_EventGapUs = 0;
   std::string m_Output;
   std::string m_CurrentEndpoint;
-  std::string m_CurrentAddress; ///< Of m_CurrentEndpoint.
+  std::string m_CurrentAddress;    ///< Of m_CurrentEndpoint.
+  std::string m_CurrentDataCentre; ///< Of m_CurrentEndpoint.
   std::vector<std::string> m_UnreachableEndpoints;
   bool m_WritingToCaller = false; ///< Blocked until the caller reads.
   std::optional<InactivityMonitor> m_InactivityMonitor;
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -1,5 +1,6 @@
 #include "gateway/Call.h"
 
+#include "gateway/EndpointSilence.h"
 #include "gateway/Gateway.h"
 #include "gateway/RetryTime.h"
 #include "metrics/Names.h"
@@ -123,6 +124,7 @@
     const TimePoint Start = base::readMonotonic();
     m_CurrentEndpoint = Id;
     m_CurrentAddress = Endpoint.address();
+    m_CurrentDataCentre = Endpoint.data_centre();
     m_ConnectionLost = m_Sent = false;
     SendOutcome Outcome = SendOutcome::Ended;
     try {
@@ -225,9 +227,10 @@
       m_Call.stopInactivityChecks();
     }
   } Cleanup{*this};
-  if (!Channel->isOpen() &&
-      !co_await Channel->connect(
-          std::min(m_Gateway.options().m_ConnectTimeout, timeLeft()))) {
+  if (!Channel->isOpen())
+    co_await Channel->connect(
+        std::min(m_Gateway.options().m_ConnectTimeout, timeLeft()));
+  if (!Channel->isOpen()) {
     Placement.onUnreachable(Id, base::readMonotonic());
     m_UnreachableEndpoints.push_back(Id);
     co_return isCancelled() ? SendOutcome::Ended : SendOutcome::NotRun;
@@ -375,27 +378,39 @@
   });
 }
 
-/// Abandons \p Endpoint if it accepts no connection. One that does may only
-/// have paused, so the call goes on waiting for it.
+/// Finds out by a new connection whether \p Endpoint has paused or is lost.
 asio::awaitable<void> Call::probeSilentEndpoint(std::string Endpoint) {
   const auto Self = shared_from_this();
   const base::TimePoint LastReceivedAt =
       m_Gateway.placement().lastReceivedAt(Endpoint);
-  const bool Reachable = co_await m_Gateway.isReachable(m_CurrentAddress);
+  const Reachability Shown = co_await m_Gateway.probeEndpoint(m_CurrentAddress);
   // The call may have ended or received bytes during the probe.
   if (m_Finished || !m_InactivityMonitor || m_CurrentEndpoint != Endpoint)
     co_return;
+  const TimePoint Now = base::readMonotonic();
+  const EndpointSilence Silence = {
+      .m_Connection = Shown,
+      .m_Length = m_InactivityMonitor->silentFor(LastReceivedAt, Now),
+      .m_DataCentreSilent =
+          m_Gateway.node().isDataCentreSilent(m_CurrentDataCentre),
+      .m_CanRetry = mayRetry() && !m_ResponseStarted};
+  const bool HeardAgain =
+      m_Gateway.placement().lastReceivedAt(Endpoint) != LastReceivedAt;
+  const SilenceStep Step =
+      HeardAgain
+          ? SilenceStep::Wait
+          : nextSilenceStep(Silence, m_Gateway.options().m_MaxEndpointPause);
   m_Gateway.node().log().write(
       "endpoint_silent",
       {{"request", m_Metadata.m_Id},
        {"endpoint", Endpoint},
-       {"reachable", Reachable ? "yes" : "no"},
-       {"heard_us_ago",
-        static_cast<std::uint64_t>(
-            (base::readMonotonic() - LastReceivedAt).count())}});
-  if (Reachable ||
-      m_Gateway.placement().lastReceivedAt(Endpoint) != LastReceivedAt) {
-    m_InactivityMonitor->restart(base::readMonotonic());
+       {"reachable", reachabilityName(Shown)},
+       {"silent_us", static_cast<std::uint64_t>(Silence.m_Length.count())},
+       {"data_centre_silent", Silence.m_DataCentreSilent ? "yes" : "no"},
+       {"abandoned", Step == SilenceStep::Abandon ? "yes" : "no"}});
+  if (Step != SilenceStep::Abandon) {
+    if (Step == SilenceStep::Wait)
+      m_InactivityMonitor->restart(Now);
     scheduleInactivityCheck(Endpoint);
     co_return;
   }
@@ -563,7 +578,8 @@
   if (!Channel.isComplete() || Channel.framing() != ResponseFraming::UntilClose)
     co_return Channel.isComplete();
   const TimePoint EndedAt = base::readMonotonic();
-  const bool Running = co_await m_Gateway.isRunning(m_CurrentAddress);
+  const bool Running =
+      co_await m_Gateway.isRunning(m_CurrentAddress, timeLeft());
   m_Gateway.node().log().write(
       "unframed_response_ended",
       {{"request", m_Metadata.m_Id},
--- a/src/gateway/EndpointChannel.cpp
+++ b/src/gateway/EndpointChannel.cpp
@@ -64,21 +64,36 @@
   return "unknown";
 }
 
+std::string_view reachabilityName(Reachability Value) {
+  switch (Value) {
+  case Reachability::Accepts:
+    return "yes";
+  case Reachability::Refuses:
+    return "no";
+  case Reachability::Silent:
+    break;
+  }
+  return "unknown";
+}
+
 EndpointChannel::EndpointChannel(asio::io_context &Io, std::string Address)
     : m_Io(Io), m_Address(std::move(Address)), m_Socket(Io) {}
 
-asio::awaitable<bool> EndpointChannel::connect(base::Duration Timeout) {
+asio::awaitable<Reachability> EndpointChannel::connect(base::Duration Timeout) {
   const auto Target = parseAddress(m_Address);
   if (!Target)
-    co_return false;
+    co_return Reachability::Refuses;
   web::OperationTimeout Timer(m_Io.get_executor());
   Timer.set(Timeout, [this] { abort(); });
   boost::system::error_code Error;
   co_await m_Socket.async_connect(
       *Target, asio::redirect_error(asio::use_awaitable, Error));
   Timer.cancel();
+  if (Error == asio::error::connection_refused ||
+      Error == asio::error::connection_reset)
+    co_return Reachability::Refuses;
   if (Error || !m_Socket.is_open())
-    co_return false;
+    co_return Reachability::Silent;
   boost::system::error_code Ignored; // The connection works without them.
   m_Socket.set_option(tcp::no_delay(true), Ignored);
   m_Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
@@ -90,7 +105,7 @@
   SetTcpOption.operator()<TCP_USER_TIMEOUT>(UserTimeoutMs);
   SetTcpOption.operator()<TCP_KEEPIDLE>(KeepAliveIdleS);
   SetTcpOption.operator()<TCP_KEEPINTVL>(KeepAliveIntervalS);
-  co_return true;
+  co_return Reachability::Accepts;
 }
 
 asio::awaitable<bool> EndpointChannel::send(Request &Out) {
--- a/src/gateway/EndpointChannel.h
+++ b/src/gateway/EndpointChannel.h
@@ -31,12 +31,22 @@
 /// For log lines.
 std::string_view framingName(ResponseFraming Framing);
 
+/// What an attempt to connect shows of an endpoint.
+enum class Reachability {
+  Accepts, ///< Its process runs.
+  Refuses, ///< No process listens at its address.
+  Silent,  ///< Nothing answers: the endpoint pauses, or can't be reached.
+};
+
+/// Whether the endpoint is reachable, for log lines.
+std::string_view reachabilityName(Reachability Value);
+
 class EndpointChannel {
 public:
   EndpointChannel(boost::asio::io_context &Io, std::string Address);
 
-  /// Returns false if the connection fails or is not open within \p Timeout.
-  boost::asio::awaitable<bool> connect(base::Duration Timeout);
+  /// Connects within \p Timeout. The channel is open if the endpoint accepts.
+  boost::asio::awaitable<Reachability> connect(base::Duration Timeout);
   /// Returns false if the request couldn't be written completely.
   boost::asio::awaitable<bool> send(Request &Out);
   /// Reads the head of the next response, past any interim ones (1xx). Returns
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -185,24 +185,25 @@
 
 asio::awaitable<void> Gateway::checkLostCall(LostCall Lost) {
   messages::fleet::EndpointCrash &Crash = Lost.m_Crash;
-  bool Reachable = false;
+  Reachability Shown = Reachability::Refuses;
   if (Lost.m_Kind == LostCall::Kind::Abandoned) {
-    Reachable = co_await staysReachable(Lost.m_Address);
+    if (!co_await endsSoon(Lost.m_Address))
+      co_return;
     Lost.m_LostAt = base::readMonotonic();
   } else {
-    Reachable = co_await m_Probe.check(Lost.m_Address);
+    Shown = co_await m_Probe.checkUntilKnown(Lost.m_Address,
+                                             m_Options.m_MaxEndpointPause);
   }
   const base::TimePoint Now = base::readMonotonic();
-  if (Reachable && Lost.m_Kind != LostCall::Kind::Lost)
-    co_return;
   m_Node.log().write("endpoint_lost_call",
                      {{"fingerprint", base::toHex(Crash.fingerprint())},
                       {"organisation", Crash.organisation()},
                       {"route", Crash.route()},
                       {"endpoint", Crash.endpoint()},
                       {"born", Crash.born()},
-                      {"reachable", Reachable ? "yes" : "no"}});
-  if (Reachable)
+                      {"reachable", reachabilityName(Shown)}});
+  // An endpoint that answers nothing may be out of reach.
+  if (Shown != Reachability::Refuses)
     co_return;
   const auto Ago = [Now](base::TimePoint Time) {
     return static_cast<std::uint64_t>((Now - Time).count());
@@ -215,23 +216,29 @@
   m_Node.broadcast(Message, NODE_CONTROL);
 }
 
-asio::awaitable<bool> Gateway::isRunning(std::string Address) {
+asio::awaitable<bool> Gateway::isRunning(std::string Address,
+                                         base::Duration Limit) {
   co_await pause(m_Options.m_ProcessEndTime);
-  const bool Accepts = co_await m_Probe.checkAnew(Address);
-  co_return Accepts || m_Pool.hasLive(Address);
+  Reachability Shown = co_await m_Probe.checkAnew(Address);
+  if (Shown == Reachability::Silent && !m_Pool.hasLive(Address))
+    Shown = co_await m_Probe.checkUntilKnown(
+        Address, std::min(Limit, m_Options.m_MaxEndpointPause));
+  co_return Shown == Reachability::Accepts || m_Pool.hasLive(Address);
 }
 
-/// Whether the endpoint of an abandoned call doesn't end soon after.
-asio::awaitable<bool> Gateway::staysReachable(std::string Address) {
+/// Whether the process of the endpoint of an abandoned call ends soon after.
+asio::awaitable<bool> Gateway::endsSoon(std::string Address) {
   ++m_AbandonedCalls;
-  bool Reachable = true;
-  for (int Check = 0; Check < m_Options.m_AbandonedCallChecks && Reachable;
+  Reachability Shown = Reachability::Accepts;
+  for (int Check = 0; Check < m_Options.m_AbandonedCallChecks &&
+                      Shown != Reachability::Refuses;
        ++Check) {
     co_await pause(m_Options.m_AbandonedCallPause);
-    Reachable = m_Pool.hasLive(Address) || co_await m_Probe.check(Address);
+    if (!m_Pool.hasLive(Address))
+      Shown = co_await m_Probe.check(Address);
   }
   --m_AbandonedCalls;
-  co_return Reachable;
+  co_return Shown == Reachability::Refuses;
 }
 
 void Gateway::reportSuccess(const std::string &Fingerprint) {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -72,6 +72,8 @@
   base::Duration m_AbandonedCallPause = base::milliseconds(400);
   /// Abandoned calls beyond this number are not checked.
   std::size_t m_MaxAbandonedCalls = 64;
+  /// An endpoint that is silent for longer than this doesn't merely pause.
+  base::Duration m_MaxEndpointPause = base::seconds(2);
   /// A process that ends closes its connections and its listening socket one
   /// after another, within this time.
   base::Duration m_ProcessEndTime = base::milliseconds(20);
@@ -126,20 +128,22 @@
   /// nodes are notified.
   void onEndpointLeaving(const std::string &Id, std::uint64_t StartTime);
   HeldRequestTable &heldRequests() { return m_HeldRequests; }
-  /// Finds out in the background whether the endpoint of \p Lost accepts
-  /// connections, and reports its crash if not.
+  /// Finds out in the background whether the endpoint of \p Lost refuses
+  /// connections, and reports its crash if so.
   void checkLostCallAsync(LostCall Lost);
   /// Reports that an endpoint has answered a suspected request.
   void reportSuccess(const std::string &Fingerprint);
   ServicePlacement &placement() { return m_Placement; }
   EndpointPool &pool() { return m_Pool; }
-  /// Whether the endpoint at \p Address accepts a connection now.
-  boost::asio::awaitable<bool> isReachable(const std::string &Address) {
+  boost::asio::awaitable<Reachability>
+  probeEndpoint(const std::string &Address) {
     return m_Probe.check(Address);
   }
   /// Whether the process of the endpoint at \p Address runs now. One that
-  /// accepts no further connection still does if an idle one stays open.
-  boost::asio::awaitable<bool> isRunning(std::string Address);
+  /// accepts no further connection still does if an idle one stays open. One
+  /// that pauses is waited for, up to \p Limit.
+  boost::asio::awaitable<bool> isRunning(std::string Address,
+                                         base::Duration Limit);
   RateShares &rates() { return m_Rates; }
   RecentPrograms &programs() { return m_Programs; }
   /// Whether the balancer should route callers to this instance.
@@ -188,7 +192,7 @@
   void onConfiguration(const messages::fleet::ConfigurationUpdate &Update);
   boost::asio::awaitable<void> recordTurnEnd(messages::fleet::EndTurn End);
   boost::asio::awaitable<void> checkLostCall(LostCall Lost);
-  boost::asio::awaitable<bool> staysReachable(std::string Address);
+  boost::asio::awaitable<bool> endsSoon(std::string Address);
   void runMaintenance();
   void probeLeader();
   base::Duration probeInterval() const;
--- a/src/gateway/InactivityMonitor.cpp
+++ b/src/gateway/InactivityMonitor.cpp
@@ -10,8 +10,13 @@
   m_NextCheckAt = Now + m_Options.m_CheckInterval;
   if (ProcessStalled)
     m_WindowStart = Now;
-  return Now - std::max(LastReceivedAt, m_WindowStart) >
-         m_Options.m_InactivityTimeout;
+  return silentFor(LastReceivedAt, Now) > m_Options.m_InactivityTimeout;
+}
+
+base::Duration InactivityMonitor::silentFor(base::TimePoint LastReceivedAt,
+                                            base::TimePoint Now) const {
+  return std::chrono::duration_cast<base::Duration>(
+      Now - std::max(LastReceivedAt, m_WindowStart));
 }
 
 } // namespace psp::gateway
--- a/src/gateway/InactivityMonitor.h
+++ b/src/gateway/InactivityMonitor.h
@@ -39,6 +39,9 @@
   /// Whether the engine should be probed. \p LastReceivedAt: when this instance
   /// last received bytes from it, on any connection.
   bool check(base::TimePoint LastReceivedAt, base::TimePoint Now);
+  /// How long the engine has been silent.
+  base::Duration silentFor(base::TimePoint LastReceivedAt,
+                           base::TimePoint Now) const;
   /// Restarts the inactivity timeout, when nothing was read until \p Now for a
   /// reason other than the engine.
   void restart(base::TimePoint Now) { m_WindowStart = Now; }
--- a/src/gateway/ReachabilityProbe.cpp
+++ b/src/gateway/ReachabilityProbe.cpp
@@ -5,33 +5,47 @@
 
 namespace psp::gateway {
 
-boost::asio::awaitable<bool> ReachabilityProbe::check(std::string Address) {
+namespace asio = boost::asio;
+
+asio::awaitable<Reachability> ReachabilityProbe::check(std::string Address) {
   if (const auto It = m_Pending.find(Address); It != m_Pending.end()) {
-    const auto Result = std::make_shared<link::Waiter>(m_Io);
-    It->second.push_back(Result);
-    co_return co_await Result->wait(2 * m_Timeout);
+    const std::shared_ptr<PendingProbe> Pending = It->second;
+    const auto Finished = std::make_shared<link::Waiter>(m_Io);
+    Pending->m_Waiters.push_back(Finished);
+    co_await Finished->wait(2 * m_Timeout);
+    co_return Pending->m_Result;
   }
-  m_Pending.try_emplace(Address);
+  const auto Own = std::make_shared<PendingProbe>();
+  m_Pending[Address] = Own;
   auto Channel = std::make_unique<EndpointChannel>(m_Io, Address);
-  bool Reachable = false;
   try {
-    Reachable = co_await Channel->connect(m_Timeout);
-    if (Reachable)
+    Own->m_Result = co_await Channel->connect(m_Timeout);
+    if (Own->m_Result == Reachability::Accepts)
       m_Pool.release(std::move(Channel), std::nullopt);
   } catch (...) {
     m_Pending.erase(Address); // The next call probes again.
     throw;
   }
-  const auto Entry = m_Pending.extract(Address);
-  for (const auto &Waiting : Entry.mapped())
-    Waiting->fire(Reachable);
-  co_return Reachable;
+  m_Pending.erase(Address);
+  for (const auto &Waiting : Own->m_Waiters)
+    Waiting->fire();
+  co_return Own->m_Result;
 }
 
-boost::asio::awaitable<bool> ReachabilityProbe::checkAnew(std::string Address) {
+asio::awaitable<Reachability>
+ReachabilityProbe::checkAnew(std::string Address) {
   if (m_Pending.contains(Address))
     co_await check(Address);
   co_return co_await check(std::move(Address));
 }
 
+asio::awaitable<Reachability>
+ReachabilityProbe::checkUntilKnown(std::string Address, base::Duration Limit) {
+  const base::TimePoint Deadline = base::readMonotonic() + Limit;
+  Reachability Result = co_await checkAnew(Address);
+  while (Result == Reachability::Silent && base::readMonotonic() < Deadline)
+    Result = co_await check(Address);
+  co_return Result;
+}
+
 } // namespace psp::gateway
--- a/src/gateway/ReachabilityProbe.h
+++ b/src/gateway/ReachabilityProbe.h
@@ -1,5 +1,5 @@
 /// \file
-/// Tells whether an endpoint accepts connections.
+/// Tells whether an endpoint accepts, refuses or ignores connections.
 
 #ifndef PSP_GATEWAY_REACHABILITYPROBE_H
 #define PSP_GATEWAY_REACHABILITYPROBE_H
@@ -27,18 +27,26 @@
                     base::Duration Timeout)
       : m_Io(Io), m_Pool(Pool), m_Timeout(Timeout) {}
 
-  /// Whether the endpoint at \p Address accepts a connection within the
-  /// timeout.
-  boost::asio::awaitable<bool> check(std::string Address);
+  /// Connects to the endpoint at \p Address.
+  boost::asio::awaitable<Reachability> check(std::string Address);
   /// The same, but not by a probe that has begun before this call.
-  boost::asio::awaitable<bool> checkAnew(std::string Address);
+  boost::asio::awaitable<Reachability> checkAnew(std::string Address);
+  /// Repeats the probe for up to \p Limit until the endpoint accepts or
+  /// refuses.
+  boost::asio::awaitable<Reachability> checkUntilKnown(std::string Address,
+                                                       base::Duration Limit);
 
 private:
+  struct PendingProbe {
+    std::vector<std::shared_ptr<link::Waiter>> m_Waiters;
+    Reachability m_Result = Reachability::Silent;
+  };
+
   boost::asio::io_context &m_Io;
   EndpointPool &m_Pool;
   base::Duration m_Timeout;
-  /// Callers that wait for a probe that has begun, by address.
-  std::map<std::string, std::vector<std::shared_ptr<link::Waiter>>> m_Pending;
+  std::map<std::string, std::shared_ptr<PendingProbe>>
+      m_Pending; ///< By address.
 };
 
 } // namespace psp::gateway
--- a/src/link/Link.h
+++ b/src/link/Link.h
@@ -53,6 +53,7 @@
   void close(const std::string &Reason);
   bool isOpen() const { return m_Open; }
   std::size_t unsentBytes() const { return m_QueuedBytes; }
+  base::TimePoint lastReceivedAt() const { return m_LastReceivedAt; }
 
   /// Name of the node at the other end, empty until its hello has arrived.
   const std::string &peer() const { return m_Peer; }
--- a/src/link/LinkManager.cpp
+++ b/src/link/LinkManager.cpp
@@ -68,6 +68,17 @@
   return It == m_Nodes.end() ? 0 : It->second.m_Links.back()->unsentBytes();
 }
 
+std::optional<base::TimePoint>
+LinkManager::lastReceivedAt(const std::string &Node) const {
+  const auto It = m_Nodes.find(Node);
+  if (It == m_Nodes.end())
+    return std::nullopt;
+  base::TimePoint Last;
+  for (const std::shared_ptr<Link> &Connection : It->second.m_Links)
+    Last = std::max(Last, Connection->lastReceivedAt());
+  return Last;
+}
+
 std::set<std::string> LinkManager::connectedNodes() const {
   std::set<std::string> Names;
   for (const auto &[Name, Node] : m_Nodes)
--- a/src/link/LinkManager.h
+++ b/src/link/LinkManager.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -64,6 +65,8 @@
   bool isConnected(const std::string &Node) const {
     return m_Nodes.contains(Node);
   }
+  /// When something came from \p Node; empty if there is no connection to it.
+  std::optional<base::TimePoint> lastReceivedAt(const std::string &Node) const;
   /// Bytes for \p Node that haven't been written to the socket yet.
   std::size_t unsentBytes(const std::string &Node) const;
   std::set<std::string> connectedNodes() const;
--- a/src/node/NodeRuntime.cpp
+++ b/src/node/NodeRuntime.cpp
@@ -22,6 +22,9 @@
 constexpr base::Duration StopDelay = base::milliseconds(300);
 /// How often control nodes send the nodes that they are connected to.
 constexpr base::Duration DirectoryInterval = base::seconds(3);
+/// A node from which nothing has come for this long is not heard: more than two
+/// pings of its link.
+constexpr base::Duration NodeSilenceTime = base::milliseconds(1300);
 /// Nodes that no control node has listed for this long are removed from the
 /// directory.
 constexpr base::Duration NodeExpiryTime = base::seconds(25);
@@ -111,6 +114,25 @@
       }));
 }
 
+bool NodeRuntime::isDataCentreSilent(const std::string &DataCentre) const {
+  const base::TimePoint Now = base::readMonotonic();
+  bool AnyInside = false;
+  bool HeardOutside = false;
+  for (const NodeState &Node : m_Nodes.all()) {
+    if (Node.kind() == NODE_ENTRY || Node.name() == m_Self.name())
+      continue;
+    const auto LastReceivedAt = m_Links.lastReceivedAt(Node.name());
+    const bool Heard =
+        LastReceivedAt && Now - *LastReceivedAt < NodeSilenceTime;
+    const bool Inside = Node.data_centre() == DataCentre;
+    if (Inside && Heard)
+      return false;
+    AnyInside = AnyInside || Inside;
+    HeardOutside = HeardOutside || Heard;
+  }
+  return AnyInside && HeardOutside;
+}
+
 void NodeRuntime::broadcast(const LinkMessage &Message,
                             std::optional<messages::fleet::NodeKind> Kind) {
   for (const std::string &Name : m_Links.connectedNodes()) {
--- a/src/node/NodeRuntime.h
+++ b/src/node/NodeRuntime.h
@@ -73,6 +73,9 @@
   metrics::Registry &metrics() { return m_Metrics; }
   /// Number of nodes of \p Kind with an open connection.
   std::size_t connectedNodeCount(messages::fleet::NodeKind Kind) const;
+  /// Whether control and history nodes of \p DataCentre are known, none of them
+  /// is heard, and one elsewhere is.
+  bool isDataCentreSilent(const std::string &DataCentre) const;
   /// Sends \p Message to all connected nodes, or to those of \p Kind if given.
   void broadcast(const LinkMessage &Message,
                  std::optional<messages::fleet::NodeKind> Kind = {});
