A slow leader or slot allocator isn't passed by as if it were lost

Cause: nodes that are overloaded reply late, and late was taken for lost. - A slot request was sent again each 60 ms, and after 225 ms the turn began without a slot, also all further turns until the next reply: 15,841 of them in 22 s. They overload the engines (8,805 of 26,122 requests rejected there), which keeps all turns, and so the allocator, busy. - An entry instance sent a request for a leader to another node after 250 ms, which relayed it to the same leader: 9,596 relays in 22 s. Class: a time limit stands for a fact that other signs (the link is alive) deny; and retries that grow with the load.

Change: the time after which a reply counts as lost follows the replies (ReplyTimeEstimate, as TCP's), from 250 ms to 1 s for leaders, 60 to 500 ms for slot requests. While the node that allocates slots is heard, turns don't pass it by: later turns wait up to 500 ms, new programs are refused after 225 ms, or at once while older requests have waited 200 ms, with a time to come back. The slot that it may still grant to a refused program is given back.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -284,21 +284,36 @@
                            base::Duration Timeout) {
   const base::TimePoint Deadline = base::readMonotonic() + Timeout;
   LeaderSearch &Search = searchFor(Kind, LeaderRequest.group());
+  std::string FirstSentTo;
+  base::TimePoint FirstSentAt;
   while (base::readMonotonic() < Deadline) {
     const auto Result =
         co_await Search.waitForLeader(Deadline - base::readMonotonic());
     if (Result == LeaderSearch::WaitResult::TimedOut)
       break;
     const std::string Node = pickNode(Kind, Search);
+    if (FirstSentTo.empty()) {
+      FirstSentTo = Node;
+      FirstSentAt = base::readMonotonic();
+    }
+    const base::Duration ReplyTimeout =
+        Node == Search.leader()
+            ? Search.replyTimeout(m_Options.m_LeaderReplyTimeout,
+                                  m_Options.m_MaxLeaderReplyTimeout)
+            : m_Options.m_LeaderReplyTimeout;
     auto LeaderReply = co_await requestFromNode(
-        Node, LeaderRequest, Deadline - base::readMonotonic());
+        Node, LeaderRequest,
+        std::min<base::Duration>(ReplyTimeout,
+                                 Deadline - base::readMonotonic()));
     const bool FromLeader =
         LeaderReply && LeaderReply->kind() != messages::fleet::REPLY_NOT_LEADER;
     if (FromLeader) {
       // Another node may have relayed the leader's reply.
-      Search.confirmLeader(
-          LeaderReply->leader().empty() ? Node : LeaderReply->leader(),
-          base::readMonotonic());
+      const std::string Leader =
+          LeaderReply->leader().empty() ? Node : LeaderReply->leader();
+      Search.confirmLeader(Leader, base::readMonotonic());
+      if (Leader == FirstSentTo)
+        Search.recordReplyTime(base::readMonotonic() - FirstSentAt);
       if (Kind == NODE_HISTORY)
         m_LeaderRepliedAt = base::readMonotonic();
     } else {
@@ -331,9 +346,7 @@
   LinkMessage Message;
   *Message.mutable_request() = LeaderRequest;
   m_Node.links().send(Node, Message);
-  co_return co_await m_PendingRequests.wait(
-      LeaderRequest.id(),
-      std::min<base::Duration>(m_Options.m_LeaderReplyTimeout, Timeout));
+  co_return co_await m_PendingRequests.wait(LeaderRequest.id(), Timeout);
 }
 
 asio::awaitable<void> Gateway::pause(base::Duration Length) {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -40,6 +40,8 @@
   /// If a leader doesn't reply within this time, the leader is searched for at
   /// other nodes: several round trips between data centres and a disk sync.
   base::Duration m_LeaderReplyTimeout = base::milliseconds(250);
+  /// The same for a leader whose replies have been late.
+  base::Duration m_MaxLeaderReplyTimeout = base::milliseconds(1000);
   /// Pause before the next attempt while no leader is known.
   base::Duration m_LeaderRetryDelay = base::milliseconds(40);
   /// A call waits this long for a leader before it is refused: the time of an
--- a/src/gateway/LeaderSearch.cpp
+++ b/src/gateway/LeaderSearch.cpp
@@ -40,6 +40,8 @@
 }
 
 void LeaderSearch::setLeader(const std::string &Node) {
+  if (std::exchange(m_LastLeader, Node) != Node)
+    m_ReplyTime = {};
   m_Leader = Node;
   m_Hint.clear();
   for (link::Waiter *Waiter : std::exchange(m_Waiters, {}))
--- a/src/gateway/LeaderSearch.h
+++ b/src/gateway/LeaderSearch.h
@@ -6,6 +6,7 @@
 #define PSP_GATEWAY_LEADERSEARCH_H
 
 #include "base/Time.h"
+#include "link/ReplyTimeEstimate.h"
 #include "link/RequestTable.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -44,6 +45,15 @@
   /// Another node named \p Node as the leader, so it is queried next.
   void setHint(const std::string &Node) { m_Hint = Node; }
 
+  /// The leader took \p ReplyTime for a request.
+  void recordReplyTime(base::Duration ReplyTime) {
+    m_ReplyTime.observe(ReplyTime);
+  }
+  /// The time after which the leader's reply is lost rather than late.
+  base::Duration replyTimeout(base::Duration Min, base::Duration Max) const {
+    return m_ReplyTime.timeout(Min, Max);
+  }
+
   /// When a leader last replied.
   base::TimePoint lastReplyAt() const { return m_LastReplyAt; }
   /// Empty while no leader is known.
@@ -55,6 +65,8 @@
   std::string m_Leader;
   std::string m_Hint;
   base::TimePoint m_LastReplyAt;
+  link::ReplyTimeEstimate m_ReplyTime; ///< Of the last leader.
+  std::string m_LastLeader;
   bool m_Searching = false;
   std::deque<link::Waiter *> m_Waiters;
 };
--- a/src/history/HistoryNode.h
+++ b/src/history/HistoryNode.h
@@ -24,6 +24,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace psp::history {
@@ -138,6 +139,11 @@
 
   // Engine slots, in HistorySlots.cpp.
   void requestSlot(const std::string &From, const Request &Received);
+  void refuseProgram(const std::string &From, const Request &Received,
+                     std::string_view Reason, std::uint32_t RetryMs);
+  /// Whether something has come lately from the node that allocates the slots
+  /// of \p Service.
+  bool isAllocatorHeard(const std::string &Service) const;
   void sendSlotRequest(std::uint64_t Id);
   void onSlotRequest(const std::string &From, const Request &Received);
   void onReply(const Reply &Received);
--- a/src/history/HistorySlots.cpp
+++ b/src/history/HistorySlots.cpp
@@ -17,6 +17,9 @@
 /// Time after which callers of new programs retry at a full instance, in
 /// milliseconds: turns end and retained ones expire meanwhile.
 constexpr std::uint32_t FullRetryMs = 1000;
+/// The same while the slot allocator is overloaded: it recovers as turns end.
+constexpr std::uint32_t OverloadRetryMs = 500;
+constexpr std::string_view AllocatorLate = "the slot allocator is overloaded";
 
 } // namespace
 
@@ -30,19 +33,17 @@
            ->m_State.ledger()
            .hasProgram(Begin.organisation(), Begin.program());
   if (NewProgram && m_Capacity.isFull()) {
-    m_Node.log().write(
-        "program_refused",
-        {{"request", Begin.turn()},
-         {"program", Begin.program()},
-         {"reason",
-          "memory or disk use is above the threshold for new programs"}});
-    Reply Rejection;
-    Rejection.set_kind(messages::fleet::REPLY_BUSY);
-    Rejection.set_wait_ms(FullRetryMs);
-    reply(From, Received.id(), std::move(Rejection));
+    refuseProgram(From, Received,
+                  "memory or disk use is above the threshold for new programs",
+                  FullRetryMs);
     return;
   }
   const base::TimePoint Now = base::readMonotonic();
+  if (NewProgram && m_SlotRequests.isAllocatorLate(Now) &&
+      isAllocatorHeard(Begin.service())) {
+    refuseProgram(From, Received, AllocatorLate, OverloadRetryMs);
+    return;
+  }
   const std::uint64_t Id = m_SlotRequests.add({.m_Node = From,
                                                .m_Request = Received,
                                                .m_NewProgram = NewProgram,
@@ -57,6 +58,26 @@
   scheduleTick();
 }
 
+void HistoryNode::refuseProgram(const std::string &From,
+                                const Request &Received,
+                                std::string_view Reason,
+                                std::uint32_t RetryMs) {
+  m_Node.log().write("program_refused",
+                     {{"request", Received.begin().turn()},
+                      {"program", Received.begin().program()},
+                      {"reason", Reason}});
+  Reply Rejection;
+  Rejection.set_kind(messages::fleet::REPLY_BUSY);
+  Rejection.set_wait_ms(RetryMs);
+  reply(From, Received.id(), std::move(Rejection));
+}
+
+bool HistoryNode::isAllocatorHeard(const std::string &Service) const {
+  const std::string Allocator =
+      leaderOf(dispatchingGroup(Service, m_GroupCount));
+  return Allocator == m_Node.settings().m_Name || m_Node.isHeard(Allocator);
+}
+
 void HistoryNode::sendSlotRequest(std::uint64_t Id) {
   const SlotRequestTable::PendingRequest *Pending = m_SlotRequests.find(Id);
   if (!Pending)
@@ -152,7 +173,7 @@
   // A request to the wrong node is sent again by the next tick.
   if (Received.kind() == messages::fleet::REPLY_NOT_LEADER)
     return;
-  m_SlotRequests.recordReply();
+  m_SlotRequests.recordReply(Received.id(), base::readMonotonic());
   const auto Pending = m_SlotRequests.take(Received.id());
   if (!Pending)
     return;
@@ -222,8 +243,22 @@
   }
   for (const std::uint64_t Id : m_SlotRequests.takeDueForResend(Now))
     sendSlotRequest(Id);
-  for (const auto &Pending : m_SlotRequests.takeOverdue(Now))
-    beginWithoutSlot(Pending);
+  const auto IsHeard = [this](const std::string &Service) {
+    return isAllocatorHeard(Service);
+  };
+  for (const auto &Pending : m_SlotRequests.takeOverdue(Now, IsHeard)) {
+    const auto &Begin = Pending.m_Request.begin();
+    if (!Pending.m_NewProgram || !IsHeard(Begin.service())) {
+      beginWithoutSlot(Pending);
+      continue;
+    }
+    refuseProgram(Pending.m_Node, Pending.m_Request, AllocatorLate,
+                  OverloadRetryMs);
+    TurnReport Unused; // Frees the slot that the allocator may yet grant.
+    Unused.set_turn(Begin.turn());
+    Unused.set_service(Begin.service());
+    reportTurn(Unused);
+  }
   if (IsWaiting || m_SlotRequests.size() > 0)
     scheduleTick();
 }
--- a/src/history/SlotAllocator.cpp
+++ b/src/history/SlotAllocator.cpp
@@ -24,6 +24,9 @@
 
 void SlotAllocator::reportTurn(const messages::fleet::TurnReport &Report,
                                base::TimePoint Now) {
+  // It was never sent, and may still wait for a slot here.
+  if (Report.endpoint().empty())
+    m_Admission.cancel(Report.turn());
   for (const std::string &Unreachable : Report.silent())
     m_Placement.avoid(Unreachable, Now);
   m_Admission.observeEventGap(Report.event_gap_us(), load());
--- a/src/history/SlotRequestTable.cpp
+++ b/src/history/SlotRequestTable.cpp
@@ -42,8 +42,10 @@
 std::vector<std::uint64_t>
 SlotRequestTable::takeDueForResend(base::TimePoint Now) {
   std::vector<std::uint64_t> Ids;
+  const base::Duration Interval =
+      m_ReplyTime.timeout(m_Options.m_ResendInterval, m_Options.m_SlowTimeout);
   for (auto &[Id, Pending] : m_Requests) {
-    if (Now - Pending.m_SentAt < m_Options.m_ResendInterval)
+    if (Now - Pending.m_SentAt < Interval)
       continue;
     Pending.m_SentAt = Now;
     Ids.push_back(Id);
@@ -52,12 +54,29 @@
 }
 
 std::vector<SlotRequestTable::PendingRequest>
-SlotRequestTable::takeOverdue(base::TimePoint Now) {
-  auto Overdue = takeIf([&](const PendingRequest &Pending) {
-    return Now - Pending.m_ArrivedAt >= m_Options.m_Timeout;
+SlotRequestTable::takeOverdue(base::TimePoint Now, const IsHeard &Heard) {
+  return takeIf([&](const PendingRequest &Pending) {
+    const base::Duration Age = Now - Pending.m_ArrivedAt;
+    if (Age < m_Options.m_Timeout)
+      return false;
+    if (!Heard(Pending.m_Request.begin().service())) {
+      m_AllocatorUnreachable = true;
+      return true;
+    }
+    return Pending.m_NewProgram || Age >= m_Options.m_SlowTimeout;
   });
-  m_AllocatorUnreachable = m_AllocatorUnreachable || !Overdue.empty();
-  return Overdue;
+}
+
+bool SlotRequestTable::isAllocatorLate(base::TimePoint Now) const {
+  // Identifiers grow with the time of arrival.
+  return !m_Requests.empty() &&
+         Now - m_Requests.begin()->second.m_ArrivedAt >= m_Options.m_LateTime;
+}
+
+void SlotRequestTable::recordReply(std::uint64_t Id, base::TimePoint Now) {
+  m_AllocatorUnreachable = false;
+  if (const PendingRequest *Pending = find(Id))
+    m_ReplyTime.observe(Now - Pending->m_ArrivedAt);
 }
 
 std::vector<SlotRequestTable::PendingRequest>
--- a/src/history/SlotRequestTable.h
+++ b/src/history/SlotRequestTable.h
@@ -6,8 +6,10 @@
 
 #include "base/Time.h"
 #include "generated/fleet.pb.h"
+#include "link/ReplyTimeEstimate.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -16,18 +18,26 @@
 namespace psp::history {
 
 struct SlotRequestTableOptions {
-  /// A request without a reply is sent again after this long: several round
-  /// trips between data centres.
+  /// A request without a reply is sent again after this long at least: several
+  /// round trips between data centres.
   base::Duration m_ResendInterval = base::milliseconds(60);
-  /// After this long without a reply the slot allocator counts as unreachable,
-  /// and the turn begins without a slot or its requester repeats the request.
-  /// This is longer than a turn waits at the allocator, and shorter than entry
-  /// instances wait for a reply.
+  /// After this long without a reply a slot allocator that isn't heard counts
+  /// as unreachable, and the turn begins without a slot or its requester
+  /// repeats the request. This is longer than a turn waits at the allocator,
+  /// and shorter than entry instances wait for a reply.
   base::Duration m_Timeout = base::milliseconds(225);
+  /// A request that is older than this shows that the allocator is late: longer
+  /// than a turn waits there.
+  base::Duration m_LateTime = base::milliseconds(200);
+  /// The same as m_Timeout for a later turn if the allocator is heard, so is
+  /// only slow.
+  base::Duration m_SlowTimeout = base::milliseconds(500);
 };
 
 /// Load pattern: the slot allocator fails while turns keep arriving. Requesters
-/// repeat their requests meanwhile, and no turn may get two slots.
+/// repeat their requests meanwhile, and no turn may get two slots. Or it is
+/// overloaded: turns that began without a slot would overload the engines too,
+/// so new programs are refused, and later turns wait longer.
 class SlotRequestTable {
 public:
   using Request = messages::fleet::Request;
@@ -53,13 +63,20 @@
   std::optional<PendingRequest> take(std::uint64_t Id);
   /// Identifiers of the requests to be sent again. Restarts their intervals.
   std::vector<std::uint64_t> takeDueForResend(base::TimePoint Now);
-  /// Removes and returns the requests that exceeded m_Timeout.
-  std::vector<PendingRequest> takeOverdue(base::TimePoint Now);
-  /// Notes that the slot allocator has replied to some request.
-  void recordReply() { m_AllocatorUnreachable = false; }
+  /// Whether the allocator of a service is heard.
+  using IsHeard = std::function<bool(const std::string &Service)>;
+  /// Removes and returns the requests that exceeded their timeout.
+  std::vector<PendingRequest> takeOverdue(base::TimePoint Now,
+                                          const IsHeard &Heard);
+  /// Notes that the slot allocator has replied to the request \p Id, if it is
+  /// still pending.
+  void recordReply(std::uint64_t Id, base::TimePoint Now);
   /// Whether a request timed out and none was answered since: further requests
   /// would only wait until they time out as well.
   bool isAllocatorUnreachable() const { return m_AllocatorUnreachable; }
+  /// Whether a request has waited for longer than any turn waits at an
+  /// allocator that keeps up.
+  bool isAllocatorLate(base::TimePoint Now) const;
   /// Removes and returns the requests of a group that this node no longer
   /// leads.
   std::vector<PendingRequest> takeGroup(std::uint32_t Group);
@@ -74,6 +91,7 @@
   std::map<std::uint64_t, PendingRequest> m_Requests;
   std::map<std::string, std::uint64_t> m_IdsByTurn;
   bool m_AllocatorUnreachable = false;
+  link::ReplyTimeEstimate m_ReplyTime;
 };
 
 } // namespace psp::history
--- a/src/node/NodeRuntime.cpp
+++ b/src/node/NodeRuntime.cpp
@@ -114,16 +114,19 @@
       }));
 }
 
+bool NodeRuntime::isHeard(const std::string &Node) const {
+  const auto LastReceivedAt = m_Links.lastReceivedAt(Node);
+  return LastReceivedAt &&
+         base::readMonotonic() - *LastReceivedAt < NodeSilenceTime;
+}
+
 bool NodeRuntime::isDataCentreSilent(const std::string &DataCentre) const {
-  const base::TimePoint Now = base::readMonotonic();
   bool AnyInside = false;
   bool HeardOutside = false;
   for (const NodeState &Node : m_Nodes.all()) {
     if (Node.kind() == NODE_ENTRY || Node.name() == m_Self.name())
       continue;
-    const auto LastReceivedAt = m_Links.lastReceivedAt(Node.name());
-    const bool Heard =
-        LastReceivedAt && Now - *LastReceivedAt < NodeSilenceTime;
+    const bool Heard = isHeard(Node.name());
     const bool Inside = Node.data_centre() == DataCentre;
     if (Inside && Heard)
       return false;
--- a/src/node/NodeRuntime.h
+++ b/src/node/NodeRuntime.h
@@ -73,6 +73,8 @@
   metrics::Registry &metrics() { return m_Metrics; }
   /// Number of nodes of \p Kind with an open connection.
   std::size_t connectedNodeCount(messages::fleet::NodeKind Kind) const;
+  /// Whether something has come from \p Node lately.
+  bool isHeard(const std::string &Node) const;
   /// Whether control and history nodes of \p DataCentre are known, none of them
   /// is heard, and one elsewhere is.
   bool isDataCentreSilent(const std::string &DataCentre) const;
--- a/src/turns/TurnAdmission.cpp
+++ b/src/turns/TurnAdmission.cpp
@@ -51,6 +51,12 @@
   return false;
 }
 
+void TurnAdmission::cancel(const std::string &Turn) {
+  std::erase_if(m_Waiting, [&](const PendingTurn &Waiting) {
+    return Waiting.m_Request.begin().turn() == Turn;
+  });
+}
+
 bool TurnAdmission::isLikelyToMissDeadline(const PendingTurn &Turn) const {
   const auto &Begin = Turn.m_Request.begin();
   const auto Rejection = m_FirstRejectedAt.find(Begin.program());
--- a/src/turns/TurnAdmission.h
+++ b/src/turns/TurnAdmission.h
@@ -101,6 +101,8 @@
   /// If the turn of \p Repeated waits already, directs its answer to the last
   /// requester and returns true.
   bool coalesce(const PendingTurn &Repeated);
+  /// Removes \p Turn if it waits.
+  void cancel(const std::string &Turn);
   /// Whether \p Turn may begin under load \p Current. A turn that has to wait
   /// is stored and returned later by one of the take functions.
   Decision decide(const PendingTurn &Turn, const Load &Current);
--- a/tests/correctness/HistoryPartsTest.cpp
+++ b/tests/correctness/HistoryPartsTest.cpp
@@ -74,6 +74,8 @@
                                .m_SentAt = m_Now});
   }
 
+  static bool notHeard(const std::string & /*Service*/) { return false; }
+
   SlotRequestTable m_SlotRequests;
   base::TimePoint m_Now{seconds(1)};
 };
@@ -101,17 +103,17 @@
   EXPECT_EQ(m_SlotRequests.takeDueForResend(m_Now),
             std::vector<std::uint64_t>{Id});
   EXPECT_TRUE(m_SlotRequests.takeDueForResend(m_Now).empty());
-  EXPECT_TRUE(m_SlotRequests.takeOverdue(m_Now).empty());
+  EXPECT_TRUE(m_SlotRequests.takeOverdue(m_Now, notHeard).empty());
   m_Now += milliseconds(150);
   EXPECT_FALSE(m_SlotRequests.isAllocatorUnreachable());
-  EXPECT_EQ(m_SlotRequests.takeOverdue(m_Now).size(), 1U);
+  EXPECT_EQ(m_SlotRequests.takeOverdue(m_Now, notHeard).size(), 1U);
   EXPECT_EQ(m_SlotRequests.size(), 0U);
   {
     SCOPED_TRACE("the allocator counts as unreachable until its next reply");
     EXPECT_TRUE(m_SlotRequests.isAllocatorUnreachable());
-    EXPECT_TRUE(m_SlotRequests.takeOverdue(m_Now).empty());
+    EXPECT_TRUE(m_SlotRequests.takeOverdue(m_Now, notHeard).empty());
     EXPECT_TRUE(m_SlotRequests.isAllocatorUnreachable());
-    m_SlotRequests.recordReply();
+    m_SlotRequests.recordReply(Id, m_Now);
     EXPECT_FALSE(m_SlotRequests.isAllocatorUnreachable());
   }
 }
