A take-up without a name goes by what history knows of a service's versions

Callers saw a stream joined from two software versions (ORDER): it had begun at a new version and was taken up, without the name of its first attempt, at an entry instance that had not heard of that version.

Cause: Call::assumeOnlyVersion took the one version that the instance knew for the only one that the service has had. Class: a decision from one sign without a look at what else is known.

Change: which versions of a service may have generated a stream is replicated state of the group that dispatches the service (ServiceVersions). A take-up without a name asks that group, whose leader confirms with a round.

A new stream costs no message of its own. If a record isn't answered, the stream goes on, and no later one waits until a record succeeds: history nodes with earlier software don't answer, and that silence doesn't clear the leader.

Tried and reverted: waiting for each failing record, a second apart.

--- a/src/fleet/ServingConfiguration.h
+++ b/src/fleet/ServingConfiguration.h
@@ -50,8 +50,11 @@
 
   /// Whether a call of this route may be executed more than once.
   bool isRepeatable() const {
-    return m_Kind == CallKind::Repeatable ||
-           (m_Kind == CallKind::Stream && m_Resumable);
+    return m_Kind == CallKind::Repeatable || canBeTakenUp();
+  }
+  /// Whether a caller may take up a stream of this route after a break.
+  bool canBeTakenUp() const {
+    return m_Kind == CallKind::Stream && m_Resumable;
   }
 };
 
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -268,8 +268,11 @@
 
 /// Reserves the turn's tokens and fetches the text of the turns before it.
 asio::awaitable<std::optional<Refusal>> Call::beginTurn() {
-  if (takesUp() && !namesStream() && !assumeOnlyVersion())
-    co_return takeUpRefusal(ErrorKind::StreamUnknown);
+  if (takesUp() && !namesStream()) {
+    std::optional<Refusal> Reason = co_await findOnlyVersion();
+    if (Reason)
+      co_return Reason;
+  }
   const auto Group =
       m_Gateway.groupOf(organisationName(), m_Metadata.m_Program);
   if (!Group)
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -142,9 +142,9 @@
   /// Whether this call names the stream that it takes up as its attempts are
   /// named.
   bool namesStream() const;
-  /// Whether a stream that the caller doesn't name can be of one version only,
-  /// since the service has had no other. Restricts the call to that version.
-  bool assumeOnlyVersion();
+  /// Restricts a call that doesn't name the stream that it takes up to the
+  /// version of its service, if that has had only one.
+  boost::asio::awaitable<std::optional<Refusal>> findOnlyVersion();
   void describeStream(messages::fleet::BeginTurn &Begin) const;
   Refusal takeUpRefusal(base::ErrorKind Kind);
   /// Finds the version of the stream that a call without a token budget takes
--- a/src/gateway/CallStreams.cpp
+++ b/src/gateway/CallStreams.cpp
@@ -5,7 +5,6 @@
 #include "web/Spawn.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace psp::gateway {
@@ -15,8 +14,6 @@
 
 namespace {
 
-/// A stream may be taken up for this long after its call's timeout.
-constexpr base::Duration TakeUpTime = base::seconds(60);
 /// Timeout for the record of a version, and for finding one. The first event of
 /// a new stream waits for the record, which is on its way while the endpoint
 /// prepares the event.
@@ -26,9 +23,7 @@
 
 } // namespace
 
-bool Call::canBeTakenUp() const {
-  return m_Route->m_Kind == fleet::CallKind::Stream && m_Route->m_Resumable;
-}
+bool Call::canBeTakenUp() const { return m_Route->canBeTakenUp(); }
 
 bool Call::takesUp() const {
   return canBeTakenUp() &&
@@ -40,18 +35,28 @@
          m_Metadata.m_Resumes.size() <= MaxStreamNameBytes;
 }
 
-bool Call::assumeOnlyVersion() {
+asio::awaitable<std::optional<Refusal>> Call::findOnlyVersion() {
   if (!m_Metadata.m_Resumes.empty())
-    return false;
-  // Endpoints that have left are among them for a minute.
-  std::set<std::string> Versions;
-  for (const fleet::EndpointState &Endpoint : m_Gateway.endpoints().all())
-    if (Endpoint.service() == m_Service)
-      Versions.insert(Endpoint.software());
-  if (Versions.size() != 1)
-    return false;
-  m_Software = *Versions.begin();
-  return !m_Software.empty();
+    co_return takeUpRefusal(ErrorKind::StreamUnknown);
+  const auto Group = m_Gateway.groupOfService(m_Service);
+  std::optional<messages::fleet::Reply> LeaderReply;
+  if (Group) {
+    messages::fleet::Request LeaderRequest;
+    LeaderRequest.set_group(*Group);
+    LeaderRequest.mutable_find_service_version()->set_service(m_Service);
+    const base::Duration Timeout =
+        std::min(m_Gateway.leaderWaitTimeout(*Group), timeLeft());
+    LeaderReply = co_await m_Gateway.requestFromLeader(
+        messages::fleet::NODE_HISTORY, LeaderRequest, Timeout);
+  }
+  if (!LeaderReply || LeaderReply->kind() == messages::fleet::REPLY_UNAVAILABLE)
+    co_return Refusal(ErrorKind::QuorumUnavailable,
+                      "no leader of history answered",
+                      m_Gateway.retryDelayWithoutLeader());
+  m_Software = LeaderReply->software();
+  if (m_Software.empty())
+    co_return takeUpRefusal(ErrorKind::StreamUnknown);
+  co_return std::nullopt;
 }
 
 void Call::describeStream(messages::fleet::BeginTurn &Begin) const {
@@ -60,7 +65,7 @@
   Begin.set_software(m_Software);
   Begin.set_resumes(m_Metadata.m_Resumes);
   Begin.set_stream_retention_ms(
-      base::wholeMilliseconds(m_Route->m_Timeout + TakeUpTime));
+      base::wholeMilliseconds(m_Route->m_Timeout + StreamTakeUpTime));
 }
 
 Refusal Call::takeUpRefusal(ErrorKind Kind) {
@@ -73,10 +78,8 @@
 }
 
 asio::awaitable<std::optional<Refusal>> Call::findStream() {
-  if (assumeOnlyVersion())
-    co_return std::nullopt;
   if (!namesStream())
-    co_return takeUpRefusal(ErrorKind::StreamUnknown);
+    co_return co_await findOnlyVersion();
   const auto Group =
       m_Gateway.groupOf(organisationName(), m_Metadata.m_Resumes);
   std::optional<messages::fleet::Reply> LeaderReply;
@@ -130,7 +133,7 @@
     Stream.set_organisation(organisationName());
     Stream.set_software(m_Software);
     Stream.set_retention_ms(
-        base::wholeMilliseconds(m_Route->m_Timeout + TakeUpTime));
+        base::wholeMilliseconds(m_Route->m_Timeout + StreamTakeUpTime));
     const auto LeaderReply = co_await m_Gateway.requestFromLeader(
         messages::fleet::NODE_HISTORY, LeaderRequest, StreamRequestTimeout);
     if (LeaderReply)
@@ -151,6 +154,10 @@
     if (!Recorded.empty() && Recorded != m_Software)
       co_return false;
   }
+  // Without an answer the stream goes on.
+  if (canBeTakenUp() && !m_Software.empty())
+    co_await m_Gateway.ensureVersionRecorded(m_Service, m_Software,
+                                             StreamRequestTimeout);
   if (takesUp())
     logTakeUp("went_on");
   co_return true;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -38,6 +38,12 @@
   return base::stableHash(Name + std::to_string(readClocks().m_Wall));
 }
 
+/// Whether a leader with earlier software stays silent on \p Sent, which says
+/// nothing about who leads.
+bool isUnknownToEarlierNodes(const messages::fleet::Request &Sent) {
+  return Sent.has_service_version() || Sent.has_find_service_version();
+}
+
 } // namespace
 
 Gateway::Gateway(GatewayOptions Options, const node::SettingsSource &Source,
@@ -110,14 +116,20 @@
       m_HeldRequests.suspect(Fingerprint, base::readMonotonic());
   else if (Message.has_endpoints())
     for (const auto &Endpoint : Message.endpoints().endpoints())
-      if (m_Endpoints.merge(Endpoint, false, base::readMonotonic()))
-        m_Node.log().write(
-            "endpoint_changed",
-            {{"endpoint", Endpoint.id()},
-             {"address", Endpoint.address()},
-             {"service", Endpoint.service()},
-             {"software", Endpoint.software()},
-             {"phase", messages::fleet::EndpointPhase_Name(Endpoint.phase())}});
+      mergeEndpoint(Endpoint);
+}
+
+void Gateway::mergeEndpoint(const fleet::EndpointState &Endpoint) {
+  if (!m_Endpoints.merge(Endpoint, false, base::readMonotonic()))
+    return;
+  m_VersionsCheckAt = {};
+  m_Node.log().write(
+      "endpoint_changed",
+      {{"endpoint", Endpoint.id()},
+       {"address", Endpoint.address()},
+       {"service", Endpoint.service()},
+       {"software", Endpoint.software()},
+       {"phase", messages::fleet::EndpointPhase_Name(Endpoint.phase())}});
 }
 
 void Gateway::onEndpointLeaving(const std::string &Id,
@@ -149,6 +161,13 @@
       m_IdleLimit = IdleLimit(IdleTimeout);
     else
       m_IdleLimit.change(IdleTimeout, base::readMonotonic());
+    m_ResumableServices.clear();
+    for (const fleet::Route &Route : m_RouteTable->configuration().m_Routes)
+      for (const fleet::RouteTarget &Target : Route.m_Targets)
+        if (Route.canBeTakenUp()) {
+          base::Duration &Longest = m_ResumableServices[Target.m_Service];
+          Longest = std::max(Longest, Route.m_Timeout);
+        }
     m_Node.metrics()
         .gauge(metrics::names::ConfigurationVersion)
         .set(static_cast<std::int64_t>(Update.version()));
@@ -317,7 +336,11 @@
       if (Kind == NODE_HISTORY)
         m_LeaderRepliedAt = base::readMonotonic();
     } else {
-      Search.clearLeader(Node);
+      const bool KeepsLeader = !LeaderReply &&
+                               Result != LeaderSearch::WaitResult::Search &&
+                               isUnknownToEarlierNodes(LeaderRequest);
+      if (!KeepsLeader)
+        Search.clearLeader(Node);
       const bool HasHint = LeaderReply && LeaderReply->leader() != Node;
       if (HasHint)
         Search.setHint(LeaderReply->leader());
@@ -385,6 +408,78 @@
        .m_ReachableNodes = m_Node.connectedNodeCount(NODE_HISTORY)});
 }
 
+std::optional<std::uint32_t>
+Gateway::groupOfService(const std::string &Service) const {
+  if (m_HistoryGroupCount == 0)
+    return std::nullopt;
+  return fleet::dispatchingGroup(Service, m_HistoryGroupCount);
+}
+
+asio::awaitable<bool> Gateway::ensureVersionRecorded(std::string Service,
+                                                     std::string Software,
+                                                     base::Duration Timeout) {
+  const base::TimePoint Now = base::readMonotonic();
+  if (m_RecordedVersions.isRecorded(Service, Software, Now))
+    co_return true;
+  // History may have earlier software that doesn't answer.
+  if (m_RecordedVersions.hasFailed(Service, Software))
+    co_return false;
+  co_return co_await recordServiceVersion(std::move(Service),
+                                          std::move(Software), Timeout);
+}
+
+asio::awaitable<bool> Gateway::recordServiceVersion(std::string Service,
+                                                    std::string Software,
+                                                    base::Duration Timeout) {
+  const auto Group = groupOfService(Service);
+  const auto Longest = m_ResumableServices.find(Service);
+  if (!Group || Longest == m_ResumableServices.end())
+    co_return false;
+  const base::TimePoint SentAt = base::readMonotonic();
+  messages::fleet::Request LeaderRequest;
+  LeaderRequest.set_group(*Group);
+  auto &Recorded = *LeaderRequest.mutable_service_version();
+  Recorded.set_service(Service);
+  Recorded.set_software(Software);
+  Recorded.set_retention_ms(
+      base::wholeMilliseconds(m_RecordedVersions.retention(Longest->second)));
+  const auto LeaderReply =
+      co_await requestFromLeader(NODE_HISTORY, LeaderRequest, Timeout);
+  const bool Confirmed =
+      LeaderReply && LeaderReply->kind() == messages::fleet::REPLY_OK;
+  if (Confirmed) {
+    m_RecordedVersions.onRecorded(Service, Software, SentAt);
+  } else {
+    m_RecordedVersions.onFailed(Service, Software);
+    m_Node.log().write("service_version_not_recorded",
+                       {{"service", Service}, {"software", Software}});
+  }
+  co_return Confirmed;
+}
+
+/// Records the versions of usable endpoints before a stream needs them.
+void Gateway::renewServiceVersions() {
+  const base::TimePoint Now = base::readMonotonic();
+  if (Now < m_VersionsCheckAt)
+    return;
+  m_VersionsCheckAt = Now + m_Options.m_VersionCheckInterval;
+  for (const auto &[Service, Timeout] : m_ResumableServices) {
+    std::set<std::string> Versions;
+    m_Endpoints.forEachUsable(Service,
+                              [&](const fleet::EndpointState &Endpoint) {
+                                if (!Endpoint.software().empty())
+                                  Versions.insert(Endpoint.software());
+                              });
+    for (const std::string &Software : Versions)
+      if (m_RecordedVersions.takeDue(Service, Software, Now))
+        web::spawn(io().get_executor(), "record_service_version",
+                   [this, Service, Software]() -> asio::awaitable<void> {
+                     co_await recordServiceVersion(
+                         Service, Software, m_Options.m_VersionCheckInterval);
+                   });
+  }
+}
+
 void Gateway::recordTurnEndAsync(EndTurn End) {
   web::spawn(io().get_executor(), "record_turn_end",
              recordTurnEnd(std::move(End)));
@@ -443,6 +538,7 @@
   m_Pool.expire();
   m_Programs.expire(ProgramRetentionTime, base::readMonotonic());
   m_HeldRequests.expire(base::readMonotonic());
+  renewServiceVersions();
   probeLeader();
   const bool Ready = isReady();
   if (std::exchange(m_ReportedReady, Ready) != Ready)
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -16,6 +16,7 @@
 #include "gateway/RateShares.h"
 #include "gateway/ReachabilityProbe.h"
 #include "gateway/RecentPrograms.h"
+#include "gateway/RecordedVersions.h"
 #include "gateway/ServicePlacement.h"
 #include "link/RequestTable.h"
 #include "node/NodeRuntime.h"
@@ -52,6 +53,9 @@
   base::Duration m_MissingLeaderWaitTimeout = base::milliseconds(120);
   /// Recording an ended turn is attempted for this long.
   base::Duration m_RecordTimeout = base::seconds(20);
+  /// How often the versions of usable endpoints are looked through for records
+  /// that are due.
+  base::Duration m_VersionCheckInterval = base::seconds(1);
   /// A connection to an endpoint must be established within this time: several
   /// round trips between data centres.
   base::Duration m_ConnectTimeout = base::milliseconds(300);
@@ -146,6 +150,14 @@
   /// that pauses is waited for, up to \p Limit.
   boost::asio::awaitable<bool> isRunning(std::string Address,
                                          base::Duration Limit);
+  /// Has history record that \p Software generates streams of \p Service,
+  /// unless it is recorded already. False if no leader confirmed it.
+  boost::asio::awaitable<bool> ensureVersionRecorded(std::string Service,
+                                                     std::string Software,
+                                                     base::Duration Timeout);
+  /// The group that dispatches turns of \p Service; empty before the groups are
+  /// known.
+  std::optional<std::uint32_t> groupOfService(const std::string &Service) const;
   RateShares &rates() { return m_Rates; }
   RecentPrograms &programs() { return m_Programs; }
   /// Whether the balancer should route callers to this instance.
@@ -195,6 +207,11 @@
   boost::asio::awaitable<void> recordTurnEnd(messages::fleet::EndTurn End);
   boost::asio::awaitable<void> checkLostCall(LostCall Lost);
   boost::asio::awaitable<bool> endsSoon(std::string Address);
+  boost::asio::awaitable<bool> recordServiceVersion(std::string Service,
+                                                    std::string Software,
+                                                    base::Duration Timeout);
+  void renewServiceVersions();
+  void mergeEndpoint(const fleet::EndpointState &Endpoint);
   void runMaintenance();
   void probeLeader();
   base::Duration probeInterval() const;
@@ -225,6 +242,10 @@
   ServicePlacement m_Placement;
   HeldRequestTable m_HeldRequests;
   std::size_t m_AbandonedCalls = 0; ///< That wait for their check.
+  RecordedVersions m_RecordedVersions;
+  base::TimePoint m_VersionsCheckAt; ///< Next renewal of their records.
+  /// Services whose streams may be taken up, and their longest timeout.
+  std::map<std::string, base::Duration> m_ResumableServices;
   RateShares m_Rates;
   RecentPrograms m_Programs;
   link::RequestTable m_PendingRequests;
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -30,12 +30,16 @@
 /// that an entry instance waits for a reply.
 constexpr base::Duration RelayTimeout = base::milliseconds(240);
 
-/// The turn or stream that \p Received names.
+/// The turn, stream or service that \p Received names.
 std::string subjectOf(const messages::fleet::Request &Received) {
   if (Received.has_begin())
     return Received.begin().turn();
   if (Received.has_stream())
     return Received.stream().stream();
+  if (Received.has_service_version())
+    return Received.service_version().service();
+  if (Received.has_find_service_version())
+    return Received.find_service_version().service();
   return Received.has_find_stream() ? Received.find_stream().stream()
                                     : Received.end().turn();
 }
@@ -153,10 +157,12 @@
   if (!isLeaderOf(Number)) {
     const std::string Leader = leaderOf(Number);
     // Entry instances only, so that no request is relayed twice.
-    const bool Relays = Sender.kind() == messages::fleet::NODE_ENTRY &&
-                        (Received.has_begin() || Received.has_end() ||
-                         Received.has_stream() || Received.has_find_stream()) &&
-                        m_Node.links().isConnected(Leader);
+    const bool Relays =
+        Sender.kind() == messages::fleet::NODE_ENTRY &&
+        (Received.has_begin() || Received.has_end() || Received.has_stream() ||
+         Received.has_find_stream() || Received.has_service_version() ||
+         Received.has_find_service_version()) &&
+        m_Node.links().isConnected(Leader);
     if (Relays) {
       web::spawn(m_Node.io().get_executor(), "relay_to_leader",
                  relayToLeader(From, Received, Leader));
@@ -182,6 +188,11 @@
   else if (Received.has_find_stream())
     web::spawn(m_Node.io().get_executor(), "reply_to_find_stream",
                replyToFindStream(From, Received));
+  else if (Received.has_service_version())
+    onRecordServiceVersion(From, Received);
+  else if (Received.has_find_service_version())
+    web::spawn(m_Node.io().get_executor(), "reply_to_find_service_version",
+               replyToFindServiceVersion(From, Received));
 }
 
 /// Sends a request of the entry instance \p From on to \p Leader, which that
@@ -271,6 +282,8 @@
     *Command.mutable_begin() = Received.begin();
   } else if (Received.has_stream()) {
     *Command.mutable_stream() = Received.stream();
+  } else if (Received.has_service_version()) {
+    *Command.mutable_service_version() = Received.service_version();
   } else {
     *Command.mutable_end() = Received.end();
   }
--- a/src/history/HistoryNode.h
+++ b/src/history/HistoryNode.h
@@ -106,6 +106,9 @@
   void onRecordStream(const std::string &From, const Request &Received);
   boost::asio::awaitable<void> replyToFindStream(std::string From,
                                                  Request Received);
+  void onRecordServiceVersion(const std::string &From, const Request &Received);
+  boost::asio::awaitable<void> replyToFindServiceVersion(std::string From,
+                                                         Request Received);
   /// Whether all commands that the group \p Number had committed before are
   /// applied here.
   boost::asio::awaitable<bool> confirmRead(std::uint32_t Number);
--- a/src/history/HistoryStateMachine.cpp
+++ b/src/history/HistoryStateMachine.cpp
@@ -38,6 +38,10 @@
     return {CommandKind::Begin, Command.begin().turn()};
   if (Command.has_stream())
     return {CommandKind::Stream, Command.stream().stream()};
+  if (Command.has_service_version())
+    return {CommandKind::ServiceVersion,
+            Command.service_version().service() + '\0' +
+                Command.service_version().software()};
   return {CommandKind::End, Command.end().turn()};
 }
 
@@ -59,7 +63,7 @@
     Answer = makeBeginReply(Parsed.begin(), Pending, WallMs);
   else if (Parsed.has_stream())
     Answer = makeStreamReply(Parsed.stream());
-  else
+  else if (Parsed.has_end())
     Answer = makeEndReply(Parsed.end(), Pending);
   Answer.set_id(Pending.m_RequestId);
   m_Replies.push_back({.m_Node = Pending.m_Node, .m_Reply = std::move(Answer)});
--- a/src/history/HistoryStateMachine.h
+++ b/src/history/HistoryStateMachine.h
@@ -81,12 +81,12 @@
   const turns::TurnLedger &ledger() const { return m_Ledger; }
 
 private:
-  enum class CommandKind { Begin, End, Stream };
+  enum class CommandKind { Begin, End, Stream, ServiceVersion };
 
   struct PendingCommand {
     std::string m_Node;
     std::uint64_t m_RequestId = 0;
-    std::string m_Turn; ///< Or the stream that is recorded.
+    std::string m_Turn; ///< Or the stream or version that is recorded.
     std::string m_Service;
     std::string m_Endpoint;
     CommandKind m_Kind = CommandKind::Begin;
--- a/src/history/HistoryStreams.cpp
+++ b/src/history/HistoryStreams.cpp
@@ -1,5 +1,7 @@
 #include "history/HistoryNode.h"
 
+#include "fleet/ProgramGroups.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,6 +9,14 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+constexpr std::uint64_t MicrosecondsPerMs = 1000;
+/// Versions of services are remembered for longer than requested by this.
+constexpr std::uint64_t AddedRetentionMs = 10'000;
+
+} // namespace
+
 /// Begins a turn that takes up a stream, on an engine of the version that began
 /// it.
 asio::awaitable<void> HistoryNode::beginTakeUp(std::string From,
@@ -72,12 +82,66 @@
     propose(From, Received, {});
 }
 
+/// All entry instances send the same versions, so few of these requests change
+/// the log.
+void HistoryNode::onRecordServiceVersion(const std::string &From,
+                                         const Request &Received) {
+  HistoryStateMachine &State = m_Hosted.at(Received.group())->m_State;
+  const auto &Recorded = Received.service_version();
+  const bool Owned = m_GroupCount > 0 &&
+                     fleet::dispatchingGroup(Recorded.service(),
+                                             m_GroupCount) == Received.group();
+  if (!Owned || State.pendingCommands() >= MaxPendingCommands) {
+    replyKind(From, Received.id(), messages::fleet::REPLY_UNAVAILABLE);
+    return;
+  }
+  const std::uint64_t NowMs = base::readClocks().m_Wall / MicrosecondsPerMs;
+  if (State.ledger().serviceVersions().expiresMs(Recorded.service(),
+                                                 Recorded.software()) >=
+      NowMs + Recorded.retention_ms()) {
+    replyKind(From, Received.id(), messages::fleet::REPLY_OK);
+    return;
+  }
+  Request Longer = Received;
+  Longer.mutable_service_version()->set_retention_ms(Recorded.retention_ms() +
+                                                     AddedRetentionMs);
+  if (!State.coalesce(From, Longer))
+    propose(From, Longer, {});
+}
+
+/// A service that has had several versions has none that is known to be that of
+/// a stream.
+asio::awaitable<void> HistoryNode::replyToFindServiceVersion(std::string From,
+                                                             Request Received) {
+  const std::uint32_t Number = Received.group();
+  const std::string &Service = Received.find_service_version().service();
+  Reply Outgoing;
+  Outgoing.set_kind(messages::fleet::REPLY_NOT_LEADER);
+  const bool Confirmed = co_await confirmRead(Number);
+  std::size_t VersionCount = 0;
+  if (Confirmed) {
+    const std::set<std::string> Versions =
+        m_Hosted.at(Number)->m_State.ledger().serviceVersions().find(Service);
+    VersionCount = Versions.size();
+    Outgoing.set_kind(VersionCount == 1
+                          ? messages::fleet::REPLY_OK
+                          : messages::fleet::REPLY_STREAM_UNKNOWN);
+    if (VersionCount == 1)
+      Outgoing.set_software(*Versions.begin());
+  }
+  m_Node.log().write("service_version_searched",
+                     {{"service", Service},
+                      {"versions", VersionCount},
+                      {"software", Outgoing.software()},
+                      {"confirmed", Confirmed ? "yes" : "no"}});
+  reply(From, Received.id(), std::move(Outgoing));
+}
+
 asio::awaitable<void> HistoryNode::replyToFindStream(std::string From,
                                                      Request Received) {
   const FoundStream Found = co_await findStream(
       Received.group(), Received.find_stream().organisation(),
       Received.find_stream().stream());
-  constexpr std::uint64_t MicrosecondsPerMs = 1000;
   const std::uint64_t NowMs = base::readClocks().m_Wall / MicrosecondsPerMs;
   Reply Outgoing;
   Outgoing.set_kind(Found.m_Kind);
--- a/src/turns/TurnLedger.cpp
+++ b/src/turns/TurnLedger.cpp
@@ -53,6 +53,10 @@
         Command.stream().organisation(), Command.stream().stream(),
         {.m_Software = Command.stream().software(), .m_RecordedMs = WallMs},
         WallMs + Command.stream().retention_ms());
+  else if (Command.has_service_version())
+    m_ServiceVersions.record(Command.service_version().service(),
+                             Command.service_version().software(),
+                             WallMs + Command.service_version().retention_ms());
 }
 
 void TurnLedger::begin(const BeginTurn &Command, std::uint64_t WallMs) {
@@ -175,6 +179,7 @@
   removeExpired(m_Programs, m_ProgramExpiry, WallMs,
                 [](const ProgramState &) {});
   m_Streams.expire(WallMs);
+  m_ServiceVersions.expire(WallMs);
 }
 
 std::optional<std::uint64_t> TurnLedger::oldestEntry() const {
@@ -245,6 +250,7 @@
       Row.add_ended(Turn);
   }
   m_Streams.save(Message);
+  m_ServiceVersions.save(Message);
   return Message.SerializeAsString();
 }
 
@@ -258,6 +264,7 @@
   m_TurnExpiry.clear();
   m_ProgramExpiry.clear();
   m_Streams.load(Message);
+  m_ServiceVersions.load(Message);
   for (const auto &Row : Message.turns())
     storeTurn(Row.key(),
               {.m_Previous = Row.previous().empty()
--- a/src/turns/TurnLedger.h
+++ b/src/turns/TurnLedger.h
@@ -7,6 +7,7 @@
 
 #include "generated/fleet.pb.h"
 #include "turns/ExpiryQueue.h"
+#include "turns/ServiceVersions.h"
 #include "turns/StreamVersions.h"
 
 #include <cstdint>
@@ -74,6 +75,7 @@
   std::size_t turnCount() const { return m_Turns.size(); }
   std::size_t programCount() const { return m_Programs.size(); }
   const StreamVersions &streams() const { return m_Streams; }
+  const ServiceVersions &serviceVersions() const { return m_ServiceVersions; }
   /// Sum of the tokens charged and reserved, for tests and dumps.
   std::uint64_t committedTokens(const std::string &Organisation,
                                 const std::string &Program) const;
@@ -112,6 +114,7 @@
   std::set<std::uint64_t> m_EntryIndexes; ///< Of all turns.
   std::unordered_map<Key, ProgramState> m_Programs;
   StreamVersions m_Streams;
+  ServiceVersions m_ServiceVersions;
   ExpiryQueue m_TurnExpiry;
   ExpiryQueue m_ProgramExpiry;
   BeginOutcome m_LastBeginOutcome = BeginOutcome::Granted;
--- a/tests/fleet.cmake
+++ b/tests/fleet.cmake
@@ -29,6 +29,8 @@
 psp_test(token_desk_test correctness/TokenAllocatorTest.cpp USES psp_coordinator)
 psp_test(engine_desk_test correctness/SlotAllocatorTest.cpp USES psp_history)
 psp_test(stream_versions_test correctness/StreamVersionsTest.cpp USES psp_history)
+psp_test(service_versions_test correctness/ServiceVersionsTest.cpp USES psp_turns)
+psp_test(recorded_versions_test correctness/RecordedVersionsTest.cpp USES psp_gateway)
 psp_test(stream_version_placement_test correctness/StreamVersionPlacementTest.cpp USES psp_history psp_gateway)
 psp_test(history_parts_test correctness/HistoryPartsTest.cpp USES psp_history)
 psp_test(slow_leader_test correctness/SlowLeaderTest.cpp USES psp_history)
--- a/tests/process/stream_versions.py
+++ b/tests/process/stream_versions.py
@@ -77,6 +77,7 @@
         self.route, self.name, self.key = route, name, key
         self.begun_by = None  # Id of the attempt that brought the first event.
         self.versions, self.refused, self.whole = [], "", False
+        self.retry_after = ""  # Of the last refusal.
         self.waited_s = 0.0
 
     def last_event(self):
@@ -84,13 +85,15 @@
 
 
 class StreamVersionsTest(Test):
+    attempts = 1  # Of a call, by its route.
+
     def __init__(self, data):
         super().__init__(data)
         self.endpoints = {"stream": [VersionedEndpoint(self.fleet, i, "v1" if i < 2 else "v2") for i in range(4)],
                           "whole": [VersionedEndpoint(self.fleet, i, "lone") for i in range(2)]}
 
     async def configure(self):
-        route = {"host": HOST, "timeout_ms": 3000, "attempts": 1, "retention_s": 60.0, "service": "stream",
+        route = {"host": HOST, "timeout_ms": 3000, "attempts": self.attempts, "retention_s": 60.0, "service": "stream",
                  "kind": "streaming", "resumable": True}
         organisations = [{"name": name, "api_keys": [key], "rate_per_s": 0, "burst": 0}
                          for name, key in (("org", KEY), ("other", OTHER_KEY))]
@@ -126,6 +129,7 @@
             stream.begun_by = stream.begun_by or (request if stream.versions else None)
         else:
             stream.refused = json.loads(answer[2])["kind"] if answer else "no answer"
+            stream.retry_after = answer[1].get("retry-after", "") if answer else ""
         return request
 
     async def begin(self, route, instance, key=KEY):
