A version is said to have gone only if control knows no endpoint of it either

Callers that took a stream up at an instance out of step were told stream-version-gone, without a time to come back, while endpoints of the version served; they began anew for nothing.

Cause: "this instance, or this history leader, knows no endpoint of the version" was read as "there is none".

Change: before that refusal the instance asks the control leader for the endpoints of the service (FindEndpoints, confirmed by a round), once in a call, and merges them. If control can't be asked, or knows endpoints of the version, the refusal is no-endpoint with a time to come back. stream_taken_up says not_in_step then, and endpoints_refreshed what control said.

--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -207,23 +207,38 @@
     if (co_await commit(std::move(Command)))
       Result.set_kind(messages::fleet::REPLY_OK);
   } else if (Received.has_read()) {
-    link::Waiter Waiting(m_Node.io());
-    const auto Ticket = m_Group->beginRead(ControlGroup);
-    if (!Ticket)
-      co_return Result;
-    m_ReadWaiters[*Ticket] = &Waiting;
-    onProgress();
-    const bool Confirmed = co_await Waiting.wait(m_Options.m_ForwardTimeout);
-    m_ReadWaiters.erase(*Ticket);
+    const bool Confirmed = co_await confirmRead();
     if (!Confirmed)
       co_return Result;
     Result.set_kind(messages::fleet::REPLY_OK);
     Result.set_version(m_StateMachine.version());
     Result.set_text(m_StateMachine.document());
+  } else if (Received.has_find_endpoints()) {
+    const bool Confirmed = co_await confirmRead();
+    if (!Confirmed)
+      co_return Result;
+    Result.set_kind(messages::fleet::REPLY_OK);
+    for (const EndpointState &Endpoint : m_Endpoints.all())
+      if (Endpoint.service() == Received.find_endpoints().service())
+        *Result.add_endpoints() = Endpoint;
   }
   co_return Result;
 }
 
+/// Whether this node still leads the control group, and all earlier commands of
+/// the group are applied here.
+asio::awaitable<bool> Coordinator::confirmRead() {
+  link::Waiter Waiting(m_Node.io());
+  const auto Ticket = m_Group->beginRead(ControlGroup);
+  if (!Ticket)
+    co_return false;
+  m_ReadWaiters[*Ticket] = &Waiting;
+  onProgress();
+  const bool Confirmed = co_await Waiting.wait(m_Options.m_ForwardTimeout);
+  m_ReadWaiters.erase(*Ticket);
+  co_return Confirmed;
+}
+
 asio::awaitable<bool>
 Coordinator::commit(messages::fleet::ControlGroupCommand Command) {
   const auto Index =
--- a/src/coordinator/Coordinator.h
+++ b/src/coordinator/Coordinator.h
@@ -59,6 +59,7 @@
   boost::asio::awaitable<void> serveRequest(std::string From, Request Received);
   boost::asio::awaitable<Reply> execute(Request Received, bool MayForward);
   boost::asio::awaitable<Reply> executeAsLeader(Request Received);
+  boost::asio::awaitable<bool> confirmRead();
   /// Proposes \p Command. Returns whether it was committed in time.
   boost::asio::awaitable<bool>
   commit(messages::fleet::ControlGroupCommand Command);
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -345,8 +345,10 @@
                           : EndpointRetryDelay);
   if (LeaderReply->kind() == messages::fleet::REPLY_STREAM_UNKNOWN)
     co_return takeUpRefusal(ErrorKind::StreamUnknown);
-  if (LeaderReply->kind() == messages::fleet::REPLY_NO_ENGINE)
-    co_return takeUpRefusal(ErrorKind::StreamVersionGone);
+  if (LeaderReply->kind() == messages::fleet::REPLY_NO_ENGINE) {
+    m_Software = LeaderReply->software();
+    co_return co_await versionRefusal(m_Software);
+  }
   if (LeaderReply->kind() == messages::fleet::REPLY_BUDGET_SPENT)
     co_return Refusal(ErrorKind::BudgetExceeded,
                       "the program's token budget is exhausted");
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -145,6 +145,11 @@
   /// Restricts a call that doesn't name the stream that it takes up to the
   /// version of its service, if that has had only one.
   boost::asio::awaitable<std::optional<Refusal>> findOnlyVersion();
+  /// Has control tell the endpoints of the service, once in this call.
+  boost::asio::awaitable<void> refreshEndpoints();
+  /// Refuses a call for which no endpoint of \p Software is known: for good if
+  /// control knows of none either.
+  boost::asio::awaitable<Refusal> versionRefusal(std::string Software);
   void describeStream(messages::fleet::BeginTurn &Begin) const;
   Refusal takeUpRefusal(base::ErrorKind Kind);
   /// Finds the version of the stream that a call without a token budget takes
@@ -223,6 +228,8 @@
   bool m_TurnOpen = false; ///< Its tokens are reserved, its end not recorded.
   std::string m_EarlierTurns;
   std::string m_AssignedEndpoint; ///< Engine that the history leader selected.
+  /// Whether control has told the endpoints; empty: not asked.
+  std::optional<bool> m_EndpointsRefreshed;
   std::uint64_t m_Tokens = 0;
   std::uint64_t m_Events = 0; ///< Complete ones that were received.
   std::uint32_t m_EventGapUs = 0;
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -94,12 +94,21 @@
   std::set<std::string> Excluded;
   ServicePlacement &Placement = m_Gateway.placement();
   bool AnyCandidate = false;
+  const auto Select = [&] {
+    return Placement.selectEndpoint(m_Service, m_AssignedEndpoint, Excluded,
+                                    m_Software, m_Gateway.endpoints(),
+                                    base::readMonotonic());
+  };
   for (std::uint32_t Try = 0; Try < m_Gateway.options().m_MaxTries; ++Try) {
     if (isCancelled())
       break;
-    const fleet::EndpointState *Selected = Placement.selectEndpoint(
-        m_Service, m_AssignedEndpoint, Excluded, m_Software,
-        m_Gateway.endpoints(), base::readMonotonic());
+    const fleet::EndpointState *Selected = Select();
+    const bool NoneOfVersion =
+        !Selected && !AnyCandidate && !m_Software.empty();
+    if (NoneOfVersion) {
+      co_await refreshEndpoints();
+      Selected = Select();
+    }
     if (!Selected)
       break;
     AnyCandidate = true;
@@ -180,7 +189,8 @@
   }
   if (takesUp() && !AnyCandidate &&
       m_Gateway.endpoints().hasUsable(m_Service)) {
-    co_await refuse(takeUpRefusal(ErrorKind::StreamVersionGone));
+    Refusal Reason = co_await versionRefusal(m_Software);
+    co_await refuse(std::move(Reason));
     co_return;
   }
   const bool MayHaveExecuted = m_Executions > 0 && !m_Route->isRepeatable();
--- a/src/gateway/CallStreams.cpp
+++ b/src/gateway/CallStreams.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Call.h"
 
 #include "gateway/Gateway.h"
+#include "gateway/RetryTime.h"
 #include "metrics/Names.h"
 #include "web/Spawn.h"
 
@@ -18,6 +19,8 @@
 /// a new stream waits for the record, which is on its way while the endpoint
 /// prepares the event.
 constexpr base::Duration StreamRequestTimeout = base::milliseconds(250);
+/// Timeout for the endpoints of a service that control knows.
+constexpr base::Duration EndpointsTimeout = base::milliseconds(600);
 /// A stream with a longer name is not recorded, in bytes.
 constexpr std::size_t MaxStreamNameBytes = 128;
 
@@ -59,6 +62,29 @@
   co_return std::nullopt;
 }
 
+asio::awaitable<void> Call::refreshEndpoints() {
+  if (m_EndpointsRefreshed)
+    co_return;
+  m_EndpointsRefreshed = co_await m_Gateway.refreshEndpoints(
+      m_Service, std::min<base::Duration>(EndpointsTimeout, timeLeft()));
+}
+
+asio::awaitable<Refusal> Call::versionRefusal(std::string Software) {
+  co_await refreshEndpoints();
+  bool AnyOfVersion = false;
+  m_Gateway.endpoints().forEachUsable(
+      m_Service, [&](const fleet::EndpointState &Endpoint) {
+        AnyOfVersion = AnyOfVersion || Endpoint.software() == Software;
+      });
+  if (*m_EndpointsRefreshed && !AnyOfVersion)
+    co_return takeUpRefusal(ErrorKind::StreamVersionGone);
+  logTakeUp("not_in_step");
+  co_return Refusal(ErrorKind::NoEndpoint,
+                    "it is not known yet which endpoints have the software "
+                    "version that began the stream",
+                    EndpointRetryDelay);
+}
+
 void Call::describeStream(messages::fleet::BeginTurn &Begin) const {
   if (!canBeTakenUp())
     return;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -480,6 +480,30 @@
   }
 }
 
+asio::awaitable<bool> Gateway::refreshEndpoints(std::string Service,
+                                                base::Duration Timeout) {
+  messages::fleet::Request LeaderRequest;
+  LeaderRequest.mutable_find_endpoints()->set_service(Service);
+  const base::TimePoint SentAt = base::readMonotonic();
+  const auto LeaderReply =
+      co_await requestFromLeader(NODE_CONTROL, LeaderRequest, Timeout);
+  const bool Answered =
+      LeaderReply && LeaderReply->kind() == messages::fleet::REPLY_OK;
+  m_Node.log().write(
+      "endpoints_refreshed",
+      {{"service", Service},
+       {"endpoints",
+        Answered ? static_cast<std::uint64_t>(LeaderReply->endpoints_size())
+                 : 0},
+       {"answered", Answered ? "yes" : "no"},
+       {"took_us",
+        static_cast<std::uint64_t>((base::readMonotonic() - SentAt).count())}});
+  if (Answered)
+    for (const auto &Endpoint : LeaderReply->endpoints())
+      mergeEndpoint(Endpoint);
+  co_return Answered;
+}
+
 void Gateway::recordTurnEndAsync(EndTurn End) {
   web::spawn(io().get_executor(), "record_turn_end",
              recordTurnEnd(std::move(End)));
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -158,6 +158,9 @@
   /// The group that dispatches turns of \p Service; empty before the groups are
   /// known.
   std::optional<std::uint32_t> groupOfService(const std::string &Service) const;
+  /// Has control tell the endpoints of \p Service. False if no leader replied.
+  boost::asio::awaitable<bool> refreshEndpoints(std::string Service,
+                                                base::Duration Timeout);
   RateShares &rates() { return m_Rates; }
   RecentPrograms &programs() { return m_Programs; }
   /// Whether the balancer should route callers to this instance.
--- a/src/history/SlotAllocator.cpp
+++ b/src/history/SlotAllocator.cpp
@@ -15,7 +15,7 @@
   if (m_Admission.coalesce(Turn))
     return;
   if (lacksVersion(Begin.software())) {
-    m_Responses.push_back(respond(Turn, messages::fleet::REPLY_NO_ENGINE));
+    m_Responses.push_back(respondWithoutEngine(Turn));
     return;
   }
   if (m_Admission.decide(Turn, load()) == turns::TurnAdmission::Decision::Begin)
@@ -81,13 +81,20 @@
   return Response;
 }
 
+SlotResponse SlotAllocator::respondWithoutEngine(PendingTurn Turn) {
+  SlotResponse Response =
+      respond(std::move(Turn), messages::fleet::REPLY_NO_ENGINE);
+  Response.m_Reply.set_software(Response.m_Turn.m_Request.begin().software());
+  return Response;
+}
+
 SlotResponse SlotAllocator::grant(PendingTurn Turn, base::TimePoint Now) {
   const std::string Software = Turn.m_Request.begin().software();
   const std::string Engine =
       m_Placement.place(Turn.m_Request, m_Endpoints, Now);
   // The last engine of the version may have left while the turn waited.
   if (Engine.empty() && lacksVersion(Software))
-    return respond(std::move(Turn), messages::fleet::REPLY_NO_ENGINE);
+    return respondWithoutEngine(std::move(Turn));
   SlotResponse Response = respond(std::move(Turn), messages::fleet::REPLY_OK);
   Response.m_Reply.set_endpoint(Engine);
   const fleet::EndpointState *State = m_Endpoints.find(Engine);
--- a/src/history/SlotAllocator.h
+++ b/src/history/SlotAllocator.h
@@ -53,6 +53,7 @@
 
 private:
   bool lacksVersion(const std::string &Software) const;
+  static SlotResponse respondWithoutEngine(PendingTurn Turn);
   static SlotResponse respond(PendingTurn Turn,
                               messages::fleet::ReplyKind Kind);
   SlotResponse grant(PendingTurn Turn, base::TimePoint Now);
--- a/tests/process/instance_out_of_step.py
+++ b/tests/process/instance_out_of_step.py
@@ -4,8 +4,8 @@
 
 Real processes on loopback. One instance is cut off from control, or stands still, while endpoints of
 a second version join. Streams begin at the other
-instance, break off and are taken up at this one, with and without a name. None may be
-joined from two versions.
+instance, break off and are taken up at this one, with and without a name. None may be joined
+from two versions, and none is told that its version has gone while endpoints of it serve.
 """
 
 import asyncio
@@ -88,6 +88,7 @@
         refused = sorted({s.refused for s in streams if s.refused})
         self.expect(not mixed, f"{text}: {mixed} of {len(streams)} hold events of two versions, {whole} went on, "
                     f"refused: {refused}")
+        self.expect("stream-version-gone" not in refused, f"{text}: none is told that its version has gone")
 
     async def check_cut_off(self):
         await self.cut_off()
@@ -101,6 +102,7 @@
         streams = await self.begin_streams()
         await self.take_up_here(streams, named=True)
         self.expect_not_joined(streams, "cut off, with a name")
+        self.expect(all(s.whole or s.retry_after for s in streams), "cut off: a refusal says when to come back")
         await self.heal()
         streams = await self.begin_streams()
         await self.take_up_here(streams, named=True)
