A stream isn't recorded under the version of a start that has ended

Callers saw streams joined from two versions: an endpoint had started again under its id with another version, an instance cut off from control went on with the earlier one, and recorded it for what the new process generated.

Cause: the version of the endpoint that an instance knows stood for that of the process that answers.

Change: RecordStream names the endpoint and its start, and a history leader that has heard of a later start with another version refuses it (laterVersion). The call tries another endpoint, of any version if the stream is new; its caller has received nothing. The reply to a begin names the start of the engine that was assigned; an instance that doesn't know that start asks control, and sends nothing to the earlier one.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -329,6 +329,7 @@
         .record(base::readMonotonic() - m_ArrivedAt);
     m_EarlierTurns = LeaderReply->text();
     m_AssignedEndpoint = LeaderReply->endpoint();
+    m_AssignedBorn = LeaderReply->engine_born();
     onStreamFound(*LeaderReply);
     // A leader with earlier software doesn't know of versions.
     if (takesUp() && m_Software.empty())
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -133,7 +133,12 @@
   struct StreamRecord {
     explicit StreamRecord(boost::asio::io_context &Io) : m_Finished(Io) {}
     link::Waiter m_Finished;
-    std::string m_Software; ///< As history has it; empty: not recorded.
+    std::string m_Software;   ///< As history has it; empty: not recorded.
+    std::string m_Endpoint;   ///< Where the stream was sent.
+    std::uint64_t m_Born = 0; ///< Its start.
+    /// History knows a later start of the endpoint, with m_Software, and has
+    /// recorded nothing.
+    bool m_StartEnded = false;
   };
   /// Whether a caller may take up this call's stream after a break.
   bool canBeTakenUp() const;
@@ -145,6 +150,12 @@
   /// Restricts a call that doesn't name the stream that it takes up to the
   /// version of its service, if that has had only one.
   boost::asio::awaitable<std::optional<Refusal>> findOnlyVersion();
+  /// Whether history has assigned an endpoint, or a start of it, that this
+  /// instance hasn't heard of.
+  bool isAssignedEndpointUnknown() const;
+  /// Gives nothing more to a start of \p Endpoint before \p Born, which has
+  /// ended: it started again.
+  void markEarlierStartRemoved(const std::string &Endpoint, std::uint64_t Born);
   /// Has control tell the endpoints of the service, once in this call.
   boost::asio::awaitable<void> refreshEndpoints();
   /// Refuses a call for which no endpoint of \p Software is known: for good if
@@ -161,6 +172,8 @@
   void recordStreamAsync(const fleet::EndpointState &Endpoint);
   boost::asio::awaitable<void>
   recordStream(std::shared_ptr<StreamRecord> Record);
+  /// Prepares the next try after one that went to a start which has ended.
+  void forgetEndedStart();
   /// Waits for the record of the version, and returns whether events may be
   /// forwarded: not if history has another version for this stream.
   boost::asio::awaitable<bool> awaitStreamRecord();
@@ -228,6 +241,7 @@
   bool m_TurnOpen = false; ///< Its tokens are reserved, its end not recorded.
   std::string m_EarlierTurns;
   std::string m_AssignedEndpoint; ///< Engine that the history leader selected.
+  std::uint64_t m_AssignedBorn = 0; ///< Its start; zero: not known.
   /// Whether control has told the endpoints; empty: not asked.
   std::optional<bool> m_EndpointsRefreshed;
   std::uint64_t m_Tokens = 0;
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -105,7 +105,7 @@
     const fleet::EndpointState *Selected = Select();
     const bool NoneOfVersion =
         !Selected && !AnyCandidate && !m_Software.empty();
-    if (NoneOfVersion) {
+    if (NoneOfVersion || isAssignedEndpointUnknown()) {
       co_await refreshEndpoints();
       Selected = Select();
     }
--- a/src/gateway/CallStreams.cpp
+++ b/src/gateway/CallStreams.cpp
@@ -62,11 +62,27 @@
   co_return std::nullopt;
 }
 
+bool Call::isAssignedEndpointUnknown() const {
+  if (m_EndpointsRefreshed || m_AssignedBorn == 0)
+    return false;
+  const fleet::EndpointState *Known =
+      m_Gateway.endpoints().find(m_AssignedEndpoint);
+  return !Known || Known->born() < m_AssignedBorn;
+}
+
 asio::awaitable<void> Call::refreshEndpoints() {
   if (m_EndpointsRefreshed)
     co_return;
   m_EndpointsRefreshed = co_await m_Gateway.refreshEndpoints(
       m_Service, std::min<base::Duration>(EndpointsTimeout, timeLeft()));
+  markEarlierStartRemoved(m_AssignedEndpoint, m_AssignedBorn);
+}
+
+void Call::markEarlierStartRemoved(const std::string &Endpoint,
+                                   std::uint64_t Born) {
+  const fleet::EndpointState *Known = m_Gateway.endpoints().find(Endpoint);
+  if (Known && Known->born() < Born)
+    m_Gateway.endpoints().markRemoved(Endpoint, base::readMonotonic());
 }
 
 asio::awaitable<Refusal> Call::versionRefusal(std::string Software) {
@@ -142,6 +158,8 @@
     return;
   m_Software = Endpoint.software();
   m_StreamRecord = std::make_shared<StreamRecord>(m_Gateway.io());
+  m_StreamRecord->m_Endpoint = Endpoint.id();
+  m_StreamRecord->m_Born = Endpoint.born();
   web::spawn(m_Gateway.io().get_executor(), "record_stream",
              recordStream(m_StreamRecord));
 }
@@ -158,12 +176,18 @@
     Stream.set_stream(m_Metadata.m_Id);
     Stream.set_organisation(organisationName());
     Stream.set_software(m_Software);
+    Stream.set_endpoint(Record->m_Endpoint);
+    Stream.set_born(Record->m_Born);
     Stream.set_retention_ms(
         base::wholeMilliseconds(m_Route->m_Timeout + StreamTakeUpTime));
     const auto LeaderReply = co_await m_Gateway.requestFromLeader(
         messages::fleet::NODE_HISTORY, LeaderRequest, StreamRequestTimeout);
-    if (LeaderReply)
+    if (LeaderReply) {
       Record->m_Software = LeaderReply->software();
+      Record->m_StartEnded =
+          LeaderReply->kind() == messages::fleet::REPLY_REFUSED &&
+          !Record->m_Software.empty();
+    }
   }
   if (Record->m_Software.empty())
     m_Gateway.node().log().write("stream_not_recorded",
@@ -173,12 +197,24 @@
   Record->m_Finished.fire();
 }
 
+void Call::forgetEndedStart() {
+  markEarlierStartRemoved(m_StreamRecord->m_Endpoint,
+                          m_StreamRecord->m_Born + 1);
+  m_StreamRecord.reset();
+  // A new stream may begin at any version.
+  if (!takesUp())
+    m_Software.clear();
+}
+
 asio::awaitable<bool> Call::awaitStreamRecord() {
   if (m_StreamRecord) {
     co_await m_StreamRecord->m_Finished.wait(2 * StreamRequestTimeout);
     const std::string &Recorded = m_StreamRecord->m_Software;
-    if (!Recorded.empty() && Recorded != m_Software)
+    if (!Recorded.empty() && Recorded != m_Software) {
+      if (m_StreamRecord->m_StartEnded)
+        forgetEndedStart();
       co_return false;
+    }
   }
   // Without an answer the stream goes on.
   if (canBeTakenUp() && !m_Software.empty())
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -274,7 +274,7 @@
 }
 
 void HistoryNode::propose(const std::string &From, const Request &Received,
-                          const std::string &Endpoint) {
+                          const GrantedSlot &Granted) {
   const std::uint32_t Number = Received.group();
   messages::fleet::HistoryCommand Command;
   if (Received.has_begin()) {
@@ -282,6 +282,8 @@
     *Command.mutable_begin() = Received.begin();
   } else if (Received.has_stream()) {
     *Command.mutable_stream() = Received.stream();
+    Command.mutable_stream()->clear_endpoint();
+    Command.mutable_stream()->clear_born();
   } else if (Received.has_service_version()) {
     *Command.mutable_service_version() = Received.service_version();
   } else {
@@ -290,7 +292,7 @@
   // The request is registered before the proposal, since a group of one member
   // commits before propose() returns.
   m_Hosted.at(Number)->m_State.awaitCommit(
-      m_Groups->find(Number)->lastIndex() + 1, From, Received, Endpoint);
+      m_Groups->find(Number)->lastIndex() + 1, From, Received, Granted);
   m_Groups->propose(Number, Command.SerializeAsString());
 }
 
--- a/src/history/HistoryNode.h
+++ b/src/history/HistoryNode.h
@@ -113,7 +113,7 @@
   /// applied here.
   boost::asio::awaitable<bool> confirmRead(std::uint32_t Number);
   void propose(const std::string &From, const Request &Received,
-               const std::string &Endpoint);
+               const GrantedSlot &Granted);
   Reply retirementReply(std::uint32_t Number,
                         const messages::fleet::RetireNode &Received) const;
   void reply(const std::string &To, std::uint64_t Id, Reply Outgoing);
--- a/src/history/HistorySlots.cpp
+++ b/src/history/HistorySlots.cpp
@@ -184,7 +184,9 @@
   }
   Request Placed = Pending->m_Request;
   Placed.mutable_begin()->set_software(Received.software());
-  propose(Pending->m_Node, Placed, Received.endpoint());
+  propose(
+      Pending->m_Node, Placed,
+      {.m_Endpoint = Received.endpoint(), .m_Born = Received.engine_born()});
 }
 
 /// Begins a turn without a slot, since no allocator is reachable: the entry
--- a/src/history/HistoryStateMachine.cpp
+++ b/src/history/HistoryStateMachine.cpp
@@ -91,6 +91,7 @@
     Answer.set_kind(messages::fleet::REPLY_NOT_LEADER);
   }
   Answer.set_endpoint(Pending.m_Endpoint);
+  Answer.set_engine_born(Pending.m_EngineBorn);
   const turns::StreamVersions &Streams = m_Ledger.streams();
   if (const auto *Own = Streams.find(Begin.organisation(), Begin.turn()))
     Answer.set_software(Own->m_Software);
@@ -155,13 +156,14 @@
 void HistoryStateMachine::awaitCommit(std::uint64_t Index,
                                       const std::string &Node,
                                       const Request &Proposed,
-                                      const std::string &Endpoint) {
+                                      const GrantedSlot &Granted) {
   auto [Kind, Turn] = subjectOf(Proposed);
   m_PendingCommands[Index] = {.m_Node = Node,
                               .m_RequestId = Proposed.id(),
                               .m_Turn = std::move(Turn),
                               .m_Service = Proposed.begin().service(),
-                              .m_Endpoint = Endpoint,
+                              .m_Endpoint = Granted.m_Endpoint,
+                              .m_EngineBorn = Granted.m_Born,
                               .m_Kind = Kind,
                               .m_KeepsTurn = Proposed.end().keep()};
 }
--- a/src/history/HistoryStateMachine.h
+++ b/src/history/HistoryStateMachine.h
@@ -23,6 +23,12 @@
   messages::fleet::Reply m_Reply;
 };
 
+/// The engine that a turn has a slot on.
+struct GrantedSlot {
+  std::string m_Endpoint; ///< Empty: none.
+  std::uint64_t m_Born = 0;
+};
+
 /// Reads commands that the ledger refers to from the log.
 class EntrySource {
 public:
@@ -61,9 +67,9 @@
   std::size_t pendingCommands() const { return m_PendingCommands.size(); }
 
   /// Registers \p Proposed, which is proposed at \p Index. A BeginTurn command
-  /// may have a slot on \p Endpoint.
+  /// may have a slot.
   void awaitCommit(std::uint64_t Index, const std::string &Node,
-                   const Request &Proposed, const std::string &Endpoint = {});
+                   const Request &Proposed, const GrantedSlot &Granted = {});
   /// Replies to all pending requests that this node is no longer the leader, so
   /// that their senders contact \p Leader.
   void failAll(const std::string &Leader);
@@ -89,6 +95,7 @@
     std::string m_Turn; ///< Or the stream or version that is recorded.
     std::string m_Service;
     std::string m_Endpoint;
+    std::uint64_t m_EngineBorn = 0;
     CommandKind m_Kind = CommandKind::Begin;
     bool m_KeepsTurn = false; ///< The request ends a turn that is retained.
   };
--- a/src/history/HistoryStreams.cpp
+++ b/src/history/HistoryStreams.cpp
@@ -1,6 +1,7 @@
 #include "history/HistoryNode.h"
 
 #include "fleet/ProgramGroups.h"
+#include "history/LaterVersion.h"
 
 #include <algorithm>
 #include <utility>
@@ -78,6 +79,14 @@
     replyKind(From, Received.id(), messages::fleet::REPLY_UNAVAILABLE);
     return;
   }
+  const std::string Later = laterVersion(Received.stream(), m_Endpoints);
+  if (!Later.empty()) {
+    Reply Outgoing;
+    Outgoing.set_kind(messages::fleet::REPLY_REFUSED);
+    Outgoing.set_software(Later);
+    reply(From, Received.id(), std::move(Outgoing));
+    return;
+  }
   if (!State.coalesce(From, Received))
     propose(From, Received, {});
 }
--- a/src/history/SlotAllocator.cpp
+++ b/src/history/SlotAllocator.cpp
@@ -99,6 +99,7 @@
   Response.m_Reply.set_endpoint(Engine);
   const fleet::EndpointState *State = m_Endpoints.find(Engine);
   Response.m_Reply.set_software(State ? State->software() : Software);
+  Response.m_Reply.set_engine_born(State ? State->born() : 0);
   return Response;
 }
 
--- a/tests/process/instance_out_of_step.py
+++ b/tests/process/instance_out_of_step.py
@@ -3,7 +3,7 @@
     python3 tests/process/instance_out_of_step.py
 
 Real processes on loopback. One instance is cut off from control, or stands still, while endpoints of
-a second version join. Streams begin at the other
+a second version join, or endpoints start again with another version. Streams begin at the other
 instance, break off and are taken up at this one, with and without a name. None may be joined
 from two versions, and none is told that its version has gone while endpoints of it serve.
 """
@@ -13,8 +13,9 @@
 import sys
 
 import leaving
+from leaving import KEY
 from soak_fleet import Proxy
-from stream_versions import EVENTS, ROUTES, StreamVersionsTest, VersionedEndpoint
+from stream_versions import EVENTS, ROUTES, Stream, StreamVersionsTest, VersionedEndpoint
 
 BEHIND = 1  # The instance that is out of step.
 STREAMS = 12  # Of each part.
@@ -47,6 +48,8 @@
 
 
 class OutOfStepTest(StreamVersionsTest):
+    attempts = 3  # Two may go to endpoints that have started again.
+
     def __init__(self, data):
         super().__init__(data)
         for node in self.fleet.of("control"):
@@ -108,6 +111,27 @@
         await self.take_up_here(streams, named=True)
         self.expect_joined(streams, "in step again", len(streams))
 
+    async def check_restarted_endpoints(self):
+        """Of each version one endpoint starts again with a third version, under the id that it had."""
+        await self.cut_off()
+        restarted = self.endpoints["stream"][1:3]
+        await self.start_again(restarted, "v3")
+        streams = []
+        for i in range(STREAMS):
+            stream = Stream(ROUTES[i % 2], f"restarted{self.last_id}", KEY)
+            await self.attempt(stream, BEHIND, True)
+            streams.append(stream)
+        begun = [s for s in streams if s.versions]
+        refused = sorted({s.refused for s in streams if s.refused})
+        self.expect(all(s.versions for s in streams if s.route == "bare") and any(s.versions for s in streams if s.route == "turn"),
+                    f"endpoints started again: {len(begun)} of {STREAMS} streams begin, refused: {refused}")
+        self.expect(all(s.versions or s.retry_after for s in streams), "and a refusal says when to come back")
+        await self.start_again(restarted, "v1")
+        for stream in begun:
+            await self.attempt(stream, 0, False)
+        self.expect_not_joined(begun, "begun while endpoints had started again")
+        await self.heal()
+
     async def start_again(self, endpoints, software):
         for endpoint in endpoints:
             endpoint.software = software
@@ -132,6 +156,7 @@
 
     async def check(self):
         await self.check_cut_off()
+        await self.check_restarted_endpoints()
         await self.check_standing_still()
 
 
