An answer arrives though its caller's connection holds unread bytes

What callers saw: an answer that breaks off, with a reset, where the caller had sent a further request on a connection that ends (its request or its answer says close).

Cause: CallerSession closed the socket while bytes of the caller lay unread in it, or were still on their way. The kernel then resets the connection and discards what it has not delivered yet, so a caller that reads slowly loses the rest of its answer.

Change: LingeringClose ends only the sending side at first and discards what the caller still sends, until the caller ends its side, at most for 1 s, 4 MiB, and on 256 connections at once. A planned stop waits for it. Streams that must be reset, and connections that end between two requests, are closed as before.

Not covered: a caller that needs longer than 1 s for the rest and sends meanwhile is still reset.

--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -59,11 +59,14 @@
   auto Self = shared_from_this();
   boost::system::error_code Ignored; // The connection works without the option.
   m_Socket.set_option(tcp::no_delay(true), Ignored);
-  while (co_await waitForBytes())
-    if (!co_await serveRequest())
-      break;
+  bool MayBeReused = true;
+  while (MayBeReused && co_await waitForBytes())
+    MayBeReused = co_await serveRequest();
   m_OperationTimeout.cancel();
-  m_Socket.shutdown(tcp::socket::shutdown_both, Ignored);
+  if (!MayBeReused) {
+    const Gateway::ActiveCall Counted(m_Gateway);
+    co_await m_Gateway.lingeringClose().close(m_Socket);
+  }
   m_Socket.close(Ignored);
 }
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/HeldRequestTable.h"
 #include "gateway/IdleLimit.h"
 #include "gateway/LeaderSearch.h"
+#include "gateway/LingeringClose.h"
 #include "gateway/LostCall.h"
 #include "gateway/RateShares.h"
 #include "gateway/ReachabilityProbe.h"
@@ -184,9 +185,10 @@
   std::uint64_t addIdleConnection(std::function<void()> EndWait);
   void removeIdleConnection(std::uint64_t Id) { m_IdleConnections.erase(Id); }
   const IdleLimit &idleLimit() const { return m_IdleLimit; }
+  LingeringClose &lingeringClose() { return m_LingeringClose; }
 
   /// Counts a call, from the first byte of its request to the end of its
-  /// response. A planned stop waits for it.
+  /// response, or to that of its connection. A planned stop waits for it.
   class ActiveCall {
   public:
     explicit ActiveCall(Gateway &Owner) : m_Gateway(Owner) {
@@ -274,6 +276,7 @@
   std::uint64_t m_LastCallId = 0;
   std::map<std::uint64_t, std::function<void()>> m_Calls; ///< Running ones.
   IdleLimit m_IdleLimit{fleet::CallerLimits{}.m_IdleTimeout};
+  LingeringClose m_LingeringClose;
   std::uint64_t m_LastIdleId = 0;
   std::map<std::uint64_t, std::function<void()>> m_IdleConnections;
   bool m_ReportedReady = false;
