Answers state how long an idle connection may be reused

What callers saw: now and then no answer to a request on a connection that had been idle for the whole limit.

Cause: no answer said how long its connection may be reused, so callers reused it until they saw it end: up to 14.999 s of a limit of 15 s. A request that was on its way then crossed the close of the instance.

Change: answers and refusals on kept connections carry Keep-Alive with the limit less the time of travel (500 ms), in whole seconds. The session goes by the limit that its latest answer states, also if the limit is lowered while that answer is made.

Tried and reverted: closing later than the limit.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -43,6 +43,7 @@
            ConnectionUse Use)
     : m_Gateway(Owner), m_CallerSocket(Caller), m_Request(std::move(Received)),
       m_Use(Use), m_KeepAlive(Use != ConnectionUse::Close),
+      m_IdleLimit(Owner.idleLimit().current()),
       m_RouteTable(Owner.routeTable()), m_ArrivedAt(base::readMonotonic()),
       m_Deadline(m_ArrivedAt), m_DeadlineTimer(Owner.io()),
       m_InactivityTimer(Owner.io()) {}
@@ -394,6 +395,8 @@
     closeIfIdle();
   Response ErrorResponse = m_Gateway.protocol().makeRefusal(m_Metadata, Reason);
   ErrorResponse.keep_alive(m_KeepAlive);
+  if (const std::string Stated = statedIdleTime(); !Stated.empty())
+    ErrorResponse.set(http::field::keep_alive, Stated);
   ErrorResponse.prepare_payload();
   if (isHeadRequest())
     ErrorResponse.body().clear(); // The length stays that of the body.
@@ -492,6 +495,15 @@
     m_KeepAlive = false;
 }
 
+/// Value of the field that tells the caller how long it may reuse its idle
+/// connection; empty if it may not.
+std::string Call::statedIdleTime() const {
+  const std::chrono::seconds Stated = IdleLimit::statedTime(m_IdleLimit);
+  if (!m_KeepAlive || Stated.count() == 0)
+    return {};
+  return "timeout=" + std::to_string(Stated.count());
+}
+
 void Call::abort() {
   if (m_Abort)
     m_Abort();
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -55,6 +55,8 @@
 
   /// Handles the call. Returns whether the caller's connection may be reused.
   boost::asio::awaitable<bool> run();
+  /// The idle limit that the response states, if the connection may be reused.
+  base::Duration idleLimit() const { return m_IdleLimit; }
 
 private:
   using TimePoint = base::TimePoint;
@@ -183,6 +185,7 @@
   void watchForDisconnect();
   void onCallerReadable();
   void armDeadline();
+  std::string statedIdleTime() const;
   void abort();
   /// Closes the connection after the response, unless a request that has been
   /// read would be lost.
@@ -211,6 +214,7 @@
   Request m_Request;
   const ConnectionUse m_Use;
   bool m_KeepAlive;
+  const base::Duration m_IdleLimit;
   CallMetadata m_Metadata;
   std::shared_ptr<const fleet::RouteTable> m_RouteTable;
   const fleet::Route *m_Route = nullptr;
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -656,6 +656,8 @@
     Text += "\r\n";
   }
   Text += Framing;
+  if (const std::string Stated = statedIdleTime(); !Stated.empty())
+    Text += "Keep-Alive: " + Stated + "\r\n";
   Text += m_KeepAlive ? "Connection: keep-alive\r\n\r\n"
                       : "Connection: close\r\n\r\n";
   return Text;
--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <sys/socket.h>
@@ -53,6 +54,7 @@
   tcp::socket m_Socket;
   web::OperationTimeout m_OperationTimeout;
   boost::beast::flat_buffer m_Buffer;
+  base::Duration m_StatedLimit{0}; ///< By the latest response.
 };
 
 asio::awaitable<void> CallerSession::run() {
@@ -77,7 +79,8 @@
   while (true) {
     const base::TimePoint Now = base::readMonotonic();
     const base::TimePoint Deadline =
-        m_Gateway.idleLimit().deadline(WaitingSince);
+        std::max(m_Gateway.idleLimit().deadline(WaitingSince),
+                 WaitingSince + m_StatedLimit);
     const IdleStep Step = nextIdleStep({.m_HasBytes = hasBytes(),
                                         .m_Closing = m_Gateway.isClosing(),
                                         .m_Now = Now,
@@ -122,6 +125,7 @@
     Use = ConnectionUse::Keep;
   auto CurrentCall =
       std::make_shared<Call>(m_Gateway, m_Socket, RequestParser.release(), Use);
+  m_StatedLimit = CurrentCall->idleLimit();
   co_return co_await CurrentCall->run();
 }
 
--- a/src/gateway/IdleLimit.cpp
+++ b/src/gateway/IdleLimit.cpp
@@ -4,6 +4,14 @@
 
 namespace psp::gateway {
 
+namespace {
+
+/// Some round trips between data centres, or one lost packet that is sent
+/// again.
+constexpr base::Duration TransitTime = base::milliseconds(500);
+
+} // namespace
+
 void IdleLimit::change(base::Duration Limit, base::TimePoint Now) {
   if (Limit == m_Current)
     return;
@@ -24,4 +32,10 @@
   return Deadline;
 }
 
+std::chrono::seconds IdleLimit::statedTime(base::Duration Limit) {
+  return std::max(
+      std::chrono::seconds(0),
+      std::chrono::floor<std::chrono::seconds>(Limit - TransitTime));
+}
+
 } // namespace psp::gateway
--- a/src/gateway/IdleLimit.h
+++ b/src/gateway/IdleLimit.h
@@ -6,6 +6,7 @@
 
 #include "base/Time.h"
 
+#include <chrono>
 #include <vector>
 
 namespace psp::gateway {
@@ -22,6 +23,11 @@
   /// End of a wait that began at \p WaitingSince. It moves only to a later time
   /// while the connection waits.
   base::TimePoint deadline(base::TimePoint WaitingSince) const;
+  base::Duration current() const { return m_Current; }
+
+  /// What a caller is told if its wait may last for \p Limit: whole seconds
+  /// that end before it, by the time in which an answer and a request travel.
+  static std::chrono::seconds statedTime(base::Duration Limit);
 
 private:
   struct EarlierLimit {
--- a/tests/correctness/IdleLimitTest.cpp
+++ b/tests/correctness/IdleLimitTest.cpp
@@ -34,6 +34,17 @@
   }
 }
 
+TEST(IdleLimitTest, StatedTimeEndsBeforeTheLimitByTheTimeOfTravel) {
+  const auto Stated = [](int Milliseconds) {
+    return IdleLimit::statedTime(base::milliseconds(Milliseconds)).count();
+  };
+  EXPECT_EQ(Stated(15000), 14);
+  EXPECT_EQ(Stated(14499), 13);
+  EXPECT_EQ(Stated(1500), 1);
+  EXPECT_EQ(Stated(1499), 0);
+  EXPECT_EQ(Stated(100), 0);
+}
+
 TEST(IdleLimitTest, DeadlineOfAWaitNeverMovesToAnEarlierTime) {
   {
     SCOPED_TRACE("lowered twice");
