Endpoints that fail at the same moment hold no sound request

Seen: six endpoints that end within the same moment, each with the same sound request of one organisation (same path, empty body), had that request held for 60 s.

Cause: a request that has ended six endpoints in any order is held, since several callers may send it at once. The bound doesn't ask whether the endpoints ended together.

Change: the bound asks for two crashes that follow one another as well. Copies sent again and again are found as before (RepetitionsAtTheSameTimeAreFoundByTheirNumber).

--- a/src/coordinator/CrashTracker.h
+++ b/src/coordinator/CrashTracker.h
@@ -24,8 +24,8 @@
   /// If another request of the same organisation and path is held, this many
   /// are enough: callers vary a request, or continue from another turn with it.
   std::size_t m_MaxRelatedCrashes = 2;
-  /// So is one that has ended this many endpoints in any order, since it may be
-  /// sent by several callers at once.
+  /// So is one that has ended this many endpoints, not all of them at the same
+  /// moment, since it may be sent by several callers at once.
   std::size_t m_MaxEndpoints = 6;
   /// Instances should report a success of a request from this many crashes on.
   std::size_t m_SuspectCrashes = 2;
@@ -88,7 +88,8 @@
                (m_HeldPaths.contains(Suspected.m_PathFingerprint)
                     ? m_Options.m_MaxRelatedCrashes
                     : m_Options.m_MaxCrashes) ||
-           Suspected.m_Endpoints.size() >= m_Options.m_MaxEndpoints;
+           (Suspected.m_Crashes >= m_Options.m_SuspectCrashes &&
+            Suspected.m_Endpoints.size() >= m_Options.m_MaxEndpoints);
   }
   void forget(base::TimePoint Now);
 
--- a/tests/correctness/HeldRequestTest.cpp
+++ b/tests/correctness/HeldRequestTest.cpp
@@ -126,6 +126,15 @@
   EXPECT_FALSE(m_Tracker.shouldHold(Other));
 }
 
+TEST_F(CrashTrackerTest, SixEndpointsThatEndTogetherHoldNothing) {
+  // Each runs the same sound request of one organisation.
+  for (const char *Endpoint : {"a", "b", "c", "d", "e", "f", "g"}) {
+    lose("sound", Endpoint, milliseconds(500));
+    m_Now += milliseconds(5);
+  }
+  EXPECT_FALSE(m_Tracker.shouldHold("sound"));
+}
+
 TEST_F(CrashTrackerTest, OneSuccessEndsSuspicion) {
   lose("sound", "a");
   m_Now += seconds(1);
