Requests that run beside a crashing one are not held with it

Cause: each request that was lost in a crash was charged with it, whatever else was lost in it.

Change: the first request that is to be held explains all crashes in which it was lost, also later ones (CrashTracker::unexplained); these don't count against others. A request with four crashes, one of them unexplained, is held too, so a crashing one behind a wrong explanation is found at its fourth. A success, a release or ten minutes end an explanation.

--- a/src/coordinator/CoordinatorHolds.cpp
+++ b/src/coordinator/CoordinatorHolds.cpp
@@ -36,9 +36,13 @@
 
 void Coordinator::onCrash(const messages::fleet::EndpointCrash &Crash) {
   const std::string &Fingerprint = Crash.fingerprint();
-  if (m_StateMachine.heldRequests().find(Fingerprint))
+  const base::TimePoint Now = readMonotonic();
+  if (m_StateMachine.heldRequests().find(Fingerprint)) {
+    m_CrashTracker.onHeld(Fingerprint, Now);
+    m_CrashTracker.onCrash(Crash, Now);
     return;
-  const bool Counted = m_CrashTracker.onCrash(Crash, readMonotonic());
+  }
+  const bool Counted = m_CrashTracker.onCrash(Crash, Now);
   const CrashTracker::Suspect &Suspected = *m_CrashTracker.find(Fingerprint);
   m_Node.log().write("endpoint_crash_reported",
                      {{"fingerprint", base::toHex(Fingerprint)},
@@ -46,7 +50,7 @@
                       {"route", Crash.route()},
                       {"endpoint", Crash.endpoint()},
                       {"counted", Counted ? "yes" : "no"},
-                      {"crashes", Suspected.m_Crashes},
+                      {"crashes", Suspected.m_Counted.size()},
                       {"endpoints", Suspected.m_Endpoints.size()}});
   holdSuspects();
   if (!Counted)
@@ -87,7 +91,7 @@
   std::set<std::string> HeldPaths;
   for (const HeldRequest &Entry : Held.requests()) {
     HeldPaths.insert(fleet::pathFingerprint(Entry.fingerprint()));
-    m_CrashTracker.clear(Entry.fingerprint());
+    m_CrashTracker.onHeld(Entry.fingerprint(), readMonotonic());
     m_PendingHolds.erase(Entry.fingerprint());
     if (m_LoggedHolds[Entry.fingerprint()] == Entry.holds())
       continue;
@@ -103,7 +107,10 @@
          {"until_ms", Entry.until_ms()}});
   }
   std::erase_if(m_LoggedHolds, [&](const auto &Entry) {
-    return !m_StateMachine.heldRequests().find(Entry.first);
+    const bool Ended = !m_StateMachine.heldRequests().find(Entry.first);
+    if (Ended)
+      m_CrashTracker.clear(Entry.first);
+    return Ended;
   });
   m_CrashTracker.setHeldPaths(std::move(HeldPaths));
   m_PublishedHolds = Held.revision();
--- a/src/coordinator/CrashTracker.h
+++ b/src/coordinator/CrashTracker.h
@@ -27,34 +27,43 @@
   /// So is one that has ended this many endpoints, not all of them at the same
   /// moment, since it may be sent by several callers at once.
   std::size_t m_MaxEndpoints = 6;
+  /// A request that has ended this many endpoints one after another, most of
+  /// them together with a request that is to be held, is held too once an
+  /// endpoint ends without that request.
+  std::size_t m_MaxSharedCrashes = 4;
   /// Instances should report a success of a request from this many crashes on.
   std::size_t m_SuspectCrashes = 2;
   /// A request without another crash for this long is forgotten.
   base::Duration m_RetentionTime = base::seconds(10 * 60);
   /// If there are more, the one whose last crash is the oldest is forgotten.
   std::size_t m_MaxRequests = 4096;
+  /// Crashes that one request explains at most.
+  std::size_t m_MaxExplainedCrashes = 64;
 };
 
 /// Load patterns: callers repeat a request that ends each endpoint that runs
 /// it; endpoints end for other reasons, together with dozens of sound requests.
 /// A crash counts against a request only if the request was sent after the
 /// crash that was counted before, so endpoints that end at the same moment
-/// count once. One success clears a request.
+/// count once. Requests that are lost together are sent again together; the
+/// first one that is to be held explains the crashes in which it was lost, and
+/// these don't count against the others. One success clears a request.
 class CrashTracker {
 public:
   using EndpointCrash = messages::fleet::EndpointCrash;
+  /// Identifier and start of an endpoint.
+  using Endpoint = std::pair<std::string, std::uint64_t>;
 
   struct Suspect {
     std::string m_Organisation;
     std::string m_Route;
     std::string m_PathFingerprint;
-    /// Identifiers and starts of the endpoints, in the order of the reports.
-    std::vector<std::pair<std::string, std::uint64_t>> m_Endpoints;
-    /// Crashes of which each followed the one before.
-    std::size_t m_Crashes = 0;
-    /// Endpoint of the last one of these.
-    std::pair<std::string, std::uint64_t> m_LastCounted;
+    std::vector<Endpoint> m_Endpoints; ///< In the order of the reports.
+    /// Endpoints of which each ended after the one before.
+    std::vector<Endpoint> m_Counted;
     base::TimePoint m_LastLostAt;
+    bool m_IsExplanation = false; ///< It is to be held.
+    bool m_IsHeld = false;        ///< The control group has committed that.
   };
 
   explicit CrashTracker(CrashTrackerOptions Options = {})
@@ -66,8 +75,10 @@
   void setHeldPaths(std::set<std::string> PathFingerprints) {
     m_HeldPaths = std::move(PathFingerprints);
   }
-  /// An endpoint has answered the request, or the request is held now.
-  void clear(const std::string &Fingerprint) { m_Suspects.erase(Fingerprint); }
+  /// An endpoint has answered the request, or its hold was ended.
+  void clear(const std::string &Fingerprint);
+  /// The request is held now. It goes on to explain crashes.
+  void onHeld(const std::string &Fingerprint, base::TimePoint Now);
   /// Null if the request has ended no endpoint.
   const Suspect *find(const std::string &Fingerprint) const;
   bool isSuspect(const std::string &Fingerprint) const {
@@ -77,24 +88,21 @@
     const Suspect *Suspected = find(Fingerprint);
     return Suspected && shouldHold(*Suspected);
   }
-  /// Fingerprints of all requests that should be held.
-  std::vector<std::string> requestsToHold() const;
+  /// Fingerprints of all requests that should be held and are not.
+  std::vector<std::string> requestsToHold();
   std::size_t size() const { return m_Suspects.size(); }
 
 private:
   std::size_t crashes(const std::string &Fingerprint) const;
-  bool shouldHold(const Suspect &Suspected) const {
-    return Suspected.m_Crashes >=
-               (m_HeldPaths.contains(Suspected.m_PathFingerprint)
-                    ? m_Options.m_MaxRelatedCrashes
-                    : m_Options.m_MaxCrashes) ||
-           (Suspected.m_Crashes >= m_Options.m_SuspectCrashes &&
-            Suspected.m_Endpoints.size() >= m_Options.m_MaxEndpoints);
-  }
+  bool shouldHold(const Suspect &Suspected) const;
+  std::size_t unexplained(const std::vector<Endpoint> &Endpoints) const;
+  void explainBy(Suspect &Suspected);
+  void erase(std::map<std::string, Suspect>::iterator It);
   void forget(base::TimePoint Now);
 
   CrashTrackerOptions m_Options;
   std::map<std::string, Suspect> m_Suspects; ///< By fingerprint.
+  std::multiset<Endpoint> m_Explained;       ///< Once for each explanation.
   std::set<std::string> m_HeldPaths;
 };
 
--- a/tests/correctness/HeldRequestTest.cpp
+++ b/tests/correctness/HeldRequestTest.cpp
@@ -10,6 +10,11 @@
 
 #include <gtest/gtest.h>
 
+#include <cstddef>
+#include <random>
+#include <string>
+#include <vector>
+
 namespace psp {
 namespace {
 
@@ -135,6 +140,81 @@
   EXPECT_FALSE(m_Tracker.shouldHold("sound"));
 }
 
+TEST_F(CrashTrackerTest, ARequestThatWasLostWithAHeldOneIsNotHeld) {
+  const std::string Deadly = fleet::requestFingerprint("guild", "/a", "deadly");
+  const std::string Sound = fleet::requestFingerprint("guild", "/a", "sound");
+  for (const char *Endpoint : {"a", "b"}) {
+    lose(Sound, Endpoint);
+    lose(Deadly, Endpoint);
+    m_Now += seconds(1);
+  }
+  lose(Deadly, "c");
+  EXPECT_EQ(m_Tracker.requestsToHold(), std::vector<std::string>{Deadly});
+  m_Tracker.onHeld(Deadly, m_Now);
+  m_Tracker.setHeldPaths({fleet::pathFingerprint(Deadly)});
+  EXPECT_FALSE(m_Tracker.shouldHold(Sound));
+  // A copy that was sent before the hold ends one more.
+  m_Now += seconds(1);
+  lose(Deadly, "d");
+  lose(Sound, "d");
+  EXPECT_FALSE(m_Tracker.shouldHold(Sound));
+  EXPECT_TRUE(m_Tracker.requestsToHold().empty());
+}
+
+TEST_F(CrashTrackerTest, OfRequestsThatAreAlwaysLostTogetherTheLastIsHeldToo) {
+  for (const char *Endpoint : {"a", "b", "c"}) {
+    lose("sound", Endpoint);
+    lose("deadly", Endpoint);
+    m_Now += seconds(1);
+  }
+  // The first is taken for the cause until the other ends one without it.
+  EXPECT_EQ(m_Tracker.requestsToHold(), std::vector<std::string>{"sound"});
+  lose("deadly", "d");
+  EXPECT_TRUE(m_Tracker.shouldHold("deadly"));
+}
+
+TEST_F(CrashTrackerTest, RandomCompanionsOfADeadlyRequestAreServed) {
+  constexpr int Companions = 30;
+  for (unsigned Seed = 1; Seed <= 200; ++Seed) {
+    m_Tracker = coordinator::CrashTracker();
+    std::minstd_rand Random(Seed);
+    std::vector<std::string> Lost;
+    int Crashes = 0;
+    while (!m_Tracker.shouldHold("deadly") && Crashes < 10) {
+      // Companions never meet it a third time before it is held.
+      const std::string Endpoint = std::to_string(Crashes++);
+      Lost.clear();
+      for (int Sound = 0; Sound < Companions; ++Sound)
+        if (Random() % 2 == 0 && Crashes <= 2)
+          Lost.push_back("sound-" + std::to_string(Sound));
+      Lost.insert(Lost.begin() +
+                      static_cast<std::ptrdiff_t>(Random() % (Lost.size() + 1)),
+                  "deadly");
+      for (const std::string &Fingerprint : Lost)
+        lose(Fingerprint, Endpoint);
+      m_Now += seconds(1);
+    }
+    EXPECT_EQ(Crashes, 3) << Seed;
+    m_Tracker.onHeld("deadly", m_Now);
+    // Each meets another crash, whose cause is none of them.
+    for (int Sound = 0; Sound < Companions; ++Sound)
+      lose("sound-" + std::to_string(Sound), "late");
+    EXPECT_TRUE(m_Tracker.requestsToHold().empty()) << Seed;
+  }
+}
+
+TEST_F(CrashTrackerTest, AReleasedRequestExplainsNothing) {
+  for (const char *Endpoint : {"a", "b", "c"}) {
+    lose("first", Endpoint);
+    lose("second", Endpoint);
+    m_Now += seconds(1);
+  }
+  m_Tracker.onHeld("first", m_Now);
+  EXPECT_FALSE(m_Tracker.shouldHold("second"));
+  m_Tracker.clear("first");
+  EXPECT_EQ(m_Tracker.requestsToHold(), std::vector<std::string>{"second"});
+}
+
 TEST_F(CrashTrackerTest, OneSuccessEndsSuspicion) {
   lose("sound", "a");
   m_Now += seconds(1);
