What ends endpoints with another body from each caller is held by its path

Cause: a request is recognised by organisation, path and body.

Change: crashes are counted for the organisation's path as well, under the common part of the fingerprints. At four crashes, one of them unexplained, the path is held like a request. The success of any request clears its path, so a path that serves is not held. HeldRequestTable::onSuccess returns what is to be reported; its tests compare that instead of a bool.

--- a/src/coordinator/CoordinatorHolds.cpp
+++ b/src/coordinator/CoordinatorHolds.cpp
@@ -36,13 +36,18 @@
 
 void Coordinator::onCrash(const messages::fleet::EndpointCrash &Crash) {
   const std::string &Fingerprint = Crash.fingerprint();
+  const std::string Path = fleet::pathFingerprint(Fingerprint);
   const base::TimePoint Now = readMonotonic();
-  if (m_StateMachine.heldRequests().find(Fingerprint)) {
-    m_CrashTracker.onHeld(Fingerprint, Now);
-    m_CrashTracker.onCrash(Crash, Now);
-    return;
+  bool Held = false;
+  for (const std::string &Key : {Fingerprint, Path}) {
+    if (!m_StateMachine.heldRequests().find(Key))
+      continue;
+    m_CrashTracker.onHeld(Key, Now);
+    Held = true;
   }
   const bool Counted = m_CrashTracker.onCrash(Crash, Now);
+  if (Held)
+    return;
   const CrashTracker::Suspect &Suspected = *m_CrashTracker.find(Fingerprint);
   m_Node.log().write("endpoint_crash_reported",
                      {{"fingerprint", base::toHex(Fingerprint)},
@@ -56,11 +61,14 @@
   if (!Counted)
     return;
   m_Node.metrics().counter(metrics::names::EndpointCrashes).add();
-  if (group().isEstablishedLeader() && m_CrashTracker.isSuspect(Fingerprint)) {
-    LinkMessage Message;
-    Message.mutable_suspected()->add_fingerprints(Fingerprint);
+  if (!group().isEstablishedLeader())
+    return;
+  LinkMessage Message;
+  for (const std::string &Key : {Fingerprint, Path})
+    if (m_CrashTracker.isSuspect(Key))
+      Message.mutable_suspected()->add_fingerprints(Key);
+  if (Message.has_suspected())
     m_Node.broadcast(Message, NODE_ENTRY);
-  }
 }
 
 /// Proposes to hold the requests that have ended too many endpoints.
--- a/src/coordinator/CrashTracker.cpp
+++ b/src/coordinator/CrashTracker.cpp
@@ -8,11 +8,19 @@
 namespace psp::coordinator {
 
 bool CrashTracker::onCrash(const EndpointCrash &Crash, base::TimePoint Now) {
+  forget(Now);
+  const std::string &Fingerprint = Crash.fingerprint();
+  const bool Counts = countCrash(Fingerprint, Crash, Now);
+  const std::string Path = fleet::pathFingerprint(Fingerprint);
+  return (Path != Fingerprint && countCrash(Path, Crash, Now)) || Counts;
+}
+
+bool CrashTracker::countCrash(const std::string &Key,
+                              const EndpointCrash &Crash, base::TimePoint Now) {
   const auto Before = [Now](std::uint64_t MicrosecondsAgo) {
     return Now - base::Duration(static_cast<std::int64_t>(MicrosecondsAgo));
   };
-  forget(Now);
-  Suspect &Suspected = m_Suspects[Crash.fingerprint()];
+  Suspect &Suspected = m_Suspects[Key];
   const Endpoint Ended(Crash.endpoint(), Crash.born());
   if (std::ranges::find(Suspected.m_Endpoints, Ended) !=
       Suspected.m_Endpoints.end())
@@ -27,7 +35,8 @@
   }
   Suspected.m_Organisation = Crash.organisation();
   Suspected.m_Route = Crash.route();
-  Suspected.m_PathFingerprint = fleet::pathFingerprint(Crash.fingerprint());
+  Suspected.m_PathFingerprint = fleet::pathFingerprint(Key);
+  Suspected.m_IsPath = Key != Crash.fingerprint();
   Suspected.m_Endpoints.push_back(Ended);
   // Reports of two sends of one call are too close to be ordered by time.
   const bool Counts =
@@ -87,6 +96,8 @@
     return true;
   const std::size_t Counted = Suspected.m_Counted.size();
   const std::size_t Unexplained = unexplained(Suspected.m_Counted);
+  if (Suspected.m_IsPath)
+    return Unexplained > 0 && Counted >= m_Options.m_MaxPathCrashes;
   const std::size_t Enough = m_HeldPaths.contains(Suspected.m_PathFingerprint)
                                  ? m_Options.m_MaxRelatedCrashes
                                  : m_Options.m_MaxCrashes;
@@ -120,7 +131,8 @@
   m_Suspects.erase(It);
 }
 
-/// Drops requests whose last crash is long ago, and makes room for one.
+/// Drops requests whose last crash is long ago, and makes room for one and its
+/// path.
 void CrashTracker::forget(base::TimePoint Now) {
   for (auto It = m_Suspects.begin(); It != m_Suspects.end();) {
     const auto Next = std::next(It);
@@ -128,7 +140,7 @@
       erase(It);
     It = Next;
   }
-  if (m_Suspects.size() >= m_Options.m_MaxRequests)
+  while (m_Suspects.size() + 2 > m_Options.m_MaxRequests)
     erase(std::ranges::min_element(m_Suspects, {}, [](const auto &Entry) {
       return Entry.second.m_LastLostAt;
     }));
--- a/src/coordinator/CrashTracker.h
+++ b/src/coordinator/CrashTracker.h
@@ -31,6 +31,10 @@
   /// them together with a request that is to be held, is held too once an
   /// endpoint ends without that request.
   std::size_t m_MaxSharedCrashes = 4;
+  /// If all requests of an organisation with one path that were sent meanwhile
+  /// have ended this many endpoints, the path is to be held: each caller sends
+  /// what ends endpoints with a body of its own.
+  std::size_t m_MaxPathCrashes = 4;
   /// Instances should report a success of a request from this many crashes on.
   std::size_t m_SuspectCrashes = 2;
   /// A request without another crash for this long is forgotten.
@@ -48,6 +52,8 @@
 /// count once. Requests that are lost together are sent again together; the
 /// first one that is to be held explains the crashes in which it was lost, and
 /// these don't count against the others. One success clears a request.
+/// Paths are counted like requests, by the common part of their fingerprints;
+/// the success of any request clears its path.
 class CrashTracker {
 public:
   using EndpointCrash = messages::fleet::EndpointCrash;
@@ -62,6 +68,7 @@
     /// Endpoints of which each ended after the one before.
     std::vector<Endpoint> m_Counted;
     base::TimePoint m_LastLostAt;
+    bool m_IsPath = false;
     bool m_IsExplanation = false; ///< It is to be held.
     bool m_IsHeld = false;        ///< The control group has committed that.
   };
@@ -94,6 +101,8 @@
 
 private:
   std::size_t crashes(const std::string &Fingerprint) const;
+  bool countCrash(const std::string &Key, const EndpointCrash &Crash,
+                  base::TimePoint Now);
   bool shouldHold(const Suspect &Suspected) const;
   std::size_t unexplained(const std::vector<Endpoint> &Endpoints) const;
   void explainBy(Suspect &Suspected);
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -206,7 +206,8 @@
   if (!Left || *Left > base::Duration(0))
     co_return !Left;
   messages::fleet::Request LeaderRequest;
-  LeaderRequest.mutable_try_held()->set_fingerprint(fingerprint());
+  LeaderRequest.mutable_try_held()->set_fingerprint(
+      m_Gateway.heldRequests().heldPart(fingerprint()));
   const auto LeaderReply = co_await m_Gateway.requestFromLeader(
       messages::fleet::NODE_CONTROL, LeaderRequest,
       std::min<base::Duration>(HoldRequestTimeout, timeLeft()));
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -207,14 +207,15 @@
 void Call::onSendEnded(SendOutcome Outcome,
                        const fleet::EndpointState &Endpoint, TimePoint SentAt) {
   const bool Answered = Outcome == SendOutcome::Answered;
-  HeldRequestTable &HeldRequests = m_Gateway.heldRequests();
-  if (m_ConnectionLost)
+  if (m_ConnectionLost) {
     checkLostCall(LostCall::Kind::Lost, Endpoint, SentAt);
-  else if (Answered && !HeldRequests.empty() &&
-           HeldRequests.onSuccess(fingerprint()))
-    m_Gateway.reportSuccess(fingerprint());
-  else if (m_Sent && isCancelled() && !Answered &&
-           Outcome != SendOutcome::NotRun)
+    return;
+  }
+  HeldRequestTable &HeldRequests = m_Gateway.heldRequests();
+  if (Answered && !HeldRequests.empty())
+    for (const std::string &Part : HeldRequests.onSuccess(fingerprint()))
+      m_Gateway.reportSuccess(Part);
+  if (m_Sent && isCancelled() && !Answered && Outcome != SendOutcome::NotRun)
     checkLostCall(LostCall::Kind::Abandoned, Endpoint, SentAt);
 }
 
--- a/src/gateway/HeldRequestTable.cpp
+++ b/src/gateway/HeldRequestTable.cpp
@@ -1,6 +1,9 @@
 #include "gateway/HeldRequestTable.h"
 
+#include "fleet/RequestFingerprint.h"
+
 #include <algorithm>
+#include <set>
 
 namespace psp::gateway {
 
@@ -29,18 +32,35 @@
   });
 }
 
+std::string HeldRequestTable::heldPart(const std::string &Fingerprint) const {
+  const std::string Path = fleet::pathFingerprint(Fingerprint);
+  const auto Request = m_Held.find(Fingerprint);
+  const auto Common = m_Held.find(Path);
+  if (Request == m_Held.end())
+    return Common == m_Held.end() ? std::string() : Path;
+  return Common != m_Held.end() && Common->second > Request->second
+             ? Path
+             : Fingerprint;
+}
+
 std::optional<base::Duration>
 HeldRequestTable::holdLeft(const std::string &Fingerprint,
                            base::TimePoint Now) const {
-  const auto It = m_Held.find(Fingerprint);
+  const auto It = m_Held.find(heldPart(Fingerprint));
   if (It == m_Held.end())
     return std::nullopt;
   return std::max<base::Duration>(base::Duration(0), It->second - Now);
 }
 
-bool HeldRequestTable::onSuccess(const std::string &Fingerprint) {
+std::vector<std::string>
+HeldRequestTable::onSuccess(const std::string &Fingerprint) {
+  std::vector<std::string> Reported;
   // The list of held requests follows the control group's.
-  return m_Suspects.erase(Fingerprint) > 0 || m_Held.contains(Fingerprint);
+  for (const std::string &Part :
+       std::set{Fingerprint, fleet::pathFingerprint(Fingerprint)})
+    if (m_Suspects.erase(Part) > 0 || m_Held.contains(Part))
+      Reported.push_back(Part);
+  return Reported;
 }
 
 } // namespace psp::gateway
--- a/src/gateway/HeldRequestTable.h
+++ b/src/gateway/HeldRequestTable.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace psp::gateway {
 
@@ -39,13 +40,17 @@
   /// Whether no request is held or suspected.
   bool empty() const { return m_Held.empty() && m_Suspects.empty(); }
   bool isHolding() const { return !m_Held.empty(); }
+  /// What is held of \p Fingerprint: the request or its path, whichever is held
+  /// longer. Empty if neither is.
+  std::string heldPart(const std::string &Fingerprint) const;
   /// Time until the hold of \p Fingerprint ends; zero if it has ended and the
   /// request may be tried with the control leader's permission. Empty if the
   /// request is not held.
   std::optional<base::Duration> holdLeft(const std::string &Fingerprint,
                                          base::TimePoint Now) const;
-  /// An endpoint has answered \p Fingerprint. Returns whether to report it.
-  bool onSuccess(const std::string &Fingerprint);
+  /// An endpoint has answered \p Fingerprint. Returns what of it to report: the
+  /// request, its path or both.
+  std::vector<std::string> onSuccess(const std::string &Fingerprint);
   std::size_t heldCount() const { return m_Held.size(); }
 
 private:
--- a/tests/correctness/HeldRequestTest.cpp
+++ b/tests/correctness/HeldRequestTest.cpp
@@ -215,6 +215,36 @@
   EXPECT_EQ(m_Tracker.requestsToHold(), std::vector<std::string>{"second"});
 }
 
+TEST_F(CrashTrackerTest, EachCallerSendsADeadlyRequestWithItsOwnBody) {
+  const auto Deadly = [](int Body) {
+    return fleet::requestFingerprint("guild", "/a", std::to_string(Body));
+  };
+  const std::string Path = fleet::pathFingerprint(Deadly(0));
+  int Crashes = 0;
+  while (m_Tracker.requestsToHold().empty() && Crashes < 40) {
+    const std::string Endpoint = std::to_string(Crashes++);
+    lose(Deadly(Crashes), Endpoint);
+    lose(fleet::requestFingerprint("guild", "/b/" + Endpoint, "sound"),
+         Endpoint);
+    m_Now += milliseconds(300);
+  }
+  EXPECT_LE(Crashes, 6);
+  EXPECT_EQ(m_Tracker.requestsToHold(), std::vector<std::string>{Path});
+}
+
+TEST_F(CrashTrackerTest, APathThatServesIsNotHeld) {
+  // An organisation sends everything to one path.
+  for (int Crash = 0; Crash < 40; ++Crash) {
+    const std::string Request =
+        fleet::requestFingerprint("guild", "/a", std::to_string(Crash));
+    lose(Request, std::to_string(Crash));
+    m_Now += seconds(1);
+    if (m_Tracker.isSuspect(fleet::pathFingerprint(Request)))
+      m_Tracker.clear(fleet::pathFingerprint(Request));
+  }
+  EXPECT_TRUE(m_Tracker.requestsToHold().empty());
+}
+
 TEST_F(CrashTrackerTest, OneSuccessEndsSuspicion) {
   lose("sound", "a");
   m_Now += seconds(1);
@@ -360,24 +390,39 @@
 }
 
 TEST_F(HeldRequestTableTest, SuccessesOfSuspectedRequestsAreReported) {
-  EXPECT_FALSE(m_Table.onSuccess("sound"));
+  EXPECT_TRUE(m_Table.onSuccess("sound").empty());
   m_Table.suspect("sound", m_Now);
   EXPECT_FALSE(m_Table.empty());
-  EXPECT_TRUE(m_Table.onSuccess("sound"));
+  EXPECT_EQ(m_Table.onSuccess("sound"), std::vector<std::string>{"sound"});
   EXPECT_TRUE(m_Table.empty());
   update(5, "tried", 0);
-  EXPECT_TRUE(m_Table.onSuccess("tried"));
+  EXPECT_EQ(m_Table.onSuccess("tried"), std::vector<std::string>{"tried"});
+}
+
+TEST_F(HeldRequestTableTest, AHeldPathHoldsAllItsRequests) {
+  const std::string Request = fleet::requestFingerprint("guild", "/a", "body");
+  const std::string Path = fleet::pathFingerprint(Request);
+  update(5, Path, 2000);
+  EXPECT_EQ(m_Table.holdLeft(Request, m_Now), milliseconds(2000));
+  EXPECT_EQ(m_Table.heldPart(Request), Path);
+  EXPECT_EQ(m_Table.onSuccess(Request), std::vector<std::string>{Path});
+  EXPECT_EQ(
+      m_Table.holdLeft(fleet::requestFingerprint("guild", "/b", "body"), m_Now),
+      std::nullopt);
+  EXPECT_EQ(
+      m_Table.holdLeft(fleet::requestFingerprint("other", "/a", "body"), m_Now),
+      std::nullopt);
 }
 
 TEST_F(HeldRequestTableTest, SuspectsAreBoundedInNumberAndTime) {
   for (int Request = 0; Request < 10000; ++Request)
     m_Table.suspect(std::to_string(Request), m_Now += milliseconds(1));
-  EXPECT_FALSE(m_Table.onSuccess("0"));
-  EXPECT_TRUE(m_Table.onSuccess("9999"));
+  EXPECT_TRUE(m_Table.onSuccess("0").empty());
+  EXPECT_EQ(m_Table.onSuccess("9999"), std::vector<std::string>{"9999"});
   m_Now += seconds(3600);
   m_Table.expire(m_Now);
   EXPECT_TRUE(m_Table.empty());
-  EXPECT_FALSE(m_Table.onSuccess("9998"));
+  EXPECT_TRUE(m_Table.onSuccess("9998").empty());
 }
 
 } // namespace
