The timer of hosted groups is set anew only for an earlier time

Change: GroupHost keeps the pending time and sets the timer only if the next event is earlier; one that expires too early finds nothing due and is set again. A flush reads the clocks twice instead of three times a group. Elections are due at the times they were.

--- a/src/link/GroupHost.cpp
+++ b/src/link/GroupHost.cpp
@@ -220,16 +220,18 @@
     return;
   while (!m_ChangedGroups.empty()) {
     const std::set<std::uint32_t> Flushed = std::exchange(m_ChangedGroups, {});
+    const base::Now Start = base::readClocks();
     for (const std::uint32_t Number : Flushed)
-      sendAll(groupOf(Number).takeImmediateMessages(base::readClocks()));
+      sendAll(groupOf(Number).takeImmediateMessages(Start));
     m_Journal.sync();
+    const base::Now Synced = base::readClocks();
     for (const std::uint32_t Number : Flushed) {
       Group &Replica = groupOf(Number);
-      Replica.onSynced(base::readClocks());
+      Replica.onSynced(Synced);
       sendAll(Replica.takeMessages());
       const std::uint64_t Before = Replica.lastIndex();
       m_Handle.m_OnProgress(Number);
-      auto Immediate = Replica.takeImmediateMessages(base::readClocks());
+      auto Immediate = Replica.takeImmediateMessages(Synced);
       if (!Immediate.empty() || Replica.lastIndex() != Before)
         m_ChangedGroups.insert(Number);
       sendAll(std::move(Immediate));
@@ -285,10 +287,17 @@
   base::TimePoint Next = m_MembershipCheckAt;
   for (const auto &[Number, Hosted] : m_Groups)
     Next = std::min(Next, Hosted.m_Group->nextTimer());
+  // Each heartbeat moves an election to later. A timer that expires too early
+  // costs less than one that is set anew with each message.
+  if (m_ArmedFor && *m_ArmedFor <= Next)
+    return;
+  m_ArmedFor = Next;
   m_Timer.expires_at(Next);
   m_Timer.async_wait([this](boost::system::error_code Error) {
-    if (!Error)
-      onTimer();
+    if (Error)
+      return;
+    m_ArmedFor.reset();
+    onTimer();
   });
 }
 
--- a/src/link/GroupHost.h
+++ b/src/link/GroupHost.h
@@ -158,7 +158,8 @@
   storage::FileJournal m_Journal;
   std::set<std::string> m_Retiring;
   base::TimePoint m_MembershipCheckAt;
-  std::set<std::uint32_t> m_ChangedGroups; ///< Groups to be flushed.
+  std::optional<base::TimePoint> m_ArmedFor; ///< Expiry of the pending timer.
+  std::set<std::uint32_t> m_ChangedGroups;   ///< Groups to be flushed.
   bool m_Flushing = false;
   bool m_FlushQueued = false;
 };
