Log lines format the second once

Seen: each line called gmtime_r and strftime, and put the program and the node together anew.

Change: EventLog keeps the text of the last second and that of its origin. Lines are as they were.

--- a/src/logging/EventLog.cpp
+++ b/src/logging/EventLog.cpp
@@ -14,21 +14,6 @@
 
 constexpr std::size_t MaxValueBytes = 200;
 
-void appendTime(std::string &Line) {
-  using namespace std::chrono;
-  const auto Time = system_clock::now().time_since_epoch();
-  const std::time_t Seconds = duration_cast<seconds>(Time).count();
-  std::tm Parts{};
-  gmtime_r(&Seconds, &Parts);
-  std::array<char, 16> Text{};
-  const std::size_t Length =
-      std::strftime(Text.data(), Text.size(), "%H:%M:%S.", &Parts);
-  Line.append(Text.data(), Length);
-  const auto Millis =
-      std::to_string(duration_cast<milliseconds>(Time).count() % 1000 + 1000);
-  Line.append(Millis, 1, 3);
-}
-
 bool isPlain(char Character) {
   const auto Value = static_cast<unsigned char>(Character);
   return Value > 0x20 && Value < 0x7f && Character != '"' && Character != '=';
@@ -48,8 +33,29 @@
 
 } // namespace
 
+void EventLog::appendTime() {
+  using namespace std::chrono;
+  const auto Time = system_clock::now().time_since_epoch();
+  const std::time_t Second = duration_cast<seconds>(Time).count();
+  if (Second != m_Second) {
+    m_Second = Second;
+    std::tm Parts{};
+    gmtime_r(&Second, &Parts);
+    std::array<char, 16> Text{};
+    const std::size_t Length =
+        std::strftime(Text.data(), Text.size(), "%H:%M:%S.", &Parts);
+    m_SecondText.assign(Text.data(), Length);
+  }
+  m_Buffer += m_SecondText;
+  const auto Millis =
+      std::to_string(duration_cast<milliseconds>(Time).count() % 1000 + 1000);
+  m_Buffer.append(Millis, 1, 3);
+}
+
 EventLog::EventLog(boost::asio::io_context &Io, EventLogOptions Options)
-    : m_Options(std::move(Options)), m_Timer(Io) {
+    : m_Options(std::move(Options)), m_Timer(Io),
+      m_Origin(" program=" + m_Options.m_Program + " node=" + m_Options.m_Node +
+               " event=") {
   const int Flags = fcntl(STDOUT_FILENO, F_GETFL);
   if (Flags >= 0)
     fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
@@ -64,9 +70,8 @@
     return;
   }
   m_Buffer += "time=";
-  appendTime(m_Buffer);
-  m_Buffer += " program=" + m_Options.m_Program + " node=" + m_Options.m_Node +
-              " event=";
+  appendTime();
+  m_Buffer += m_Origin;
   m_Buffer += Event;
   for (const EventField &Each : Fields) {
     m_Buffer += ' ';
--- a/src/logging/EventLog.h
+++ b/src/logging/EventLog.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <ctime>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -52,8 +53,13 @@
   void flush();
 
 private:
+  void appendTime();
+
   EventLogOptions m_Options;
   boost::asio::steady_timer m_Timer;
+  std::string m_Origin;      ///< Program and node, as they stand in each line.
+  std::time_t m_Second = -1; ///< Of the last line.
+  std::string m_SecondText;
   bool m_Scheduled = false;
   std::string m_Buffer;
   std::uint64_t m_Dropped = 0;
