One timer watches all links

Change: LinkManager checks all links each 150 ms. A ping goes out after 600 to 750 ms without a message. It was after 600 to 1,200. A silent link closes after 1,800 to 1,950 ms; it was 1,800 to 2,400: the limit is the same, it is looked at more often. After a stall of this process one check enforces no timeout, so that what has arrived is read first.

--- a/src/link/Link.cpp
+++ b/src/link/Link.cpp
@@ -27,8 +27,8 @@
 
 Link::Link(asio::ip::tcp::socket Socket, LinkOptions Options, Handlers Handle)
     : m_Socket(std::move(Socket)), m_Options(Options),
-      m_Handle(std::move(Handle)), m_WatchTimer(m_Socket.get_executor()),
-      m_LastReceivedAt(base::readMonotonic()), m_LastSentAt(m_LastReceivedAt) {}
+      m_Handle(std::move(Handle)), m_LastReceivedAt(base::readMonotonic()),
+      m_LastSentAt(m_LastReceivedAt) {}
 
 void Link::start() {
   boost::system::error_code Ignored; // The option isn't essential.
@@ -36,8 +36,6 @@
   auto Self = shared_from_this();
   web::spawn(m_Socket.get_executor(), "link_read",
              [Self] { return Self->read(); });
-  web::spawn(m_Socket.get_executor(), "link_watch",
-             [Self] { return Self->watch(); });
 }
 
 void Link::send(const LinkMessage &Message) {
@@ -69,7 +67,6 @@
   m_Open = false;
   boost::system::error_code Ignored; // The socket isn't used any more.
   m_Socket.close(Ignored);
-  m_WatchTimer.cancel();
   m_Queue.clear();
   m_Handle.m_OnClosed(shared_from_this(), Reason);
 }
@@ -141,25 +138,16 @@
   m_Writing = false;
 }
 
-asio::awaitable<void> Link::watch() {
-  auto Self = shared_from_this();
-  while (m_Open) {
-    m_WatchTimer.expires_after(m_Options.m_PingInterval);
-    boost::system::error_code Error;
-    co_await m_WatchTimer.async_wait(
-        asio::redirect_error(asio::use_awaitable, Error));
-    if (!m_Open)
-      co_return;
-    const base::TimePoint Time = base::readMonotonic();
-    if (Time - m_LastReceivedAt > m_Options.m_InactivityTimeout) {
-      close("nothing was received within the timeout");
-      co_return;
-    }
-    if (Time - m_LastSentAt >= m_Options.m_PingInterval) {
-      LinkMessage Message;
-      Message.mutable_ping();
-      send(Message);
-    }
+void Link::check(base::TimePoint Now, bool EnforceTimeout) {
+  if (EnforceTimeout &&
+      Now - m_LastReceivedAt > m_Options.m_InactivityTimeout) {
+    close("nothing was received within the timeout");
+    return;
+  }
+  if (Now - m_LastSentAt >= m_Options.m_PingInterval) {
+    LinkMessage Message;
+    Message.mutable_ping();
+    send(Message);
   }
 }
 
--- a/src/link/Link.h
+++ b/src/link/Link.h
@@ -49,6 +49,9 @@
        Handlers Handle);
 
   void start();
+  /// Sends a ping if one is due. With \p EnforceTimeout, closes the connection
+  /// if nothing was received for too long.
+  void check(base::TimePoint Now, bool EnforceTimeout);
   void send(const LinkMessage &Message);
   void close(const std::string &Reason);
   bool isOpen() const { return m_Open; }
@@ -62,13 +65,11 @@
 private:
   boost::asio::awaitable<void> read();
   boost::asio::awaitable<void> write();
-  boost::asio::awaitable<void> watch();
   bool takeMessages(std::string &Buffer);
 
   boost::asio::ip::tcp::socket m_Socket;
   LinkOptions m_Options;
   Handlers m_Handle;
-  boost::asio::steady_timer m_WatchTimer;
   std::deque<std::string> m_Queue;
   std::size_t m_QueuedBytes = 0;
   bool m_Writing = false;
--- a/src/link/LinkManager.cpp
+++ b/src/link/LinkManager.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace psp::link {
 
@@ -17,8 +18,10 @@
 
 LinkManager::LinkManager(asio::io_context &Io, LinkManagerOptions Options,
                          Handlers Handle)
-    : m_Io(Io), m_Options(Options), m_Handle(std::move(Handle)),
-      m_Acceptor(Io) {}
+    : m_Io(Io), m_Options(Options), m_Handle(std::move(Handle)), m_Acceptor(Io),
+      m_CheckTimer(Io) {
+  checkLinks();
+}
 
 void LinkManager::setSelf(const NodeState &Self) {
   m_Self = Self;
@@ -131,11 +134,31 @@
                      const std::string &Reason) {
                 onClosed(Connection, Reason);
               }});
+  m_OpenLinks.insert(Opened);
   Opened->start();
   sendHello(Opened);
   return Opened;
 }
 
+/// One timer for all links, since a node of a large deployment has hundreds.
+void LinkManager::checkLinks() {
+  const base::TimePoint Now = base::readMonotonic();
+  // After a stall of this process, what has arrived is read first.
+  const bool Stalled = Now - m_NextCheckAt > m_Options.m_CheckInterval;
+  m_SkippedTimeouts = Stalled && !m_SkippedTimeouts;
+  // A link that closes leaves the set.
+  const std::vector<std::shared_ptr<Link>> Links(m_OpenLinks.begin(),
+                                                 m_OpenLinks.end());
+  for (const std::shared_ptr<Link> &Connection : Links)
+    Connection->check(Now, !m_SkippedTimeouts);
+  m_NextCheckAt = Now + m_Options.m_CheckInterval;
+  m_CheckTimer.expires_at(m_NextCheckAt);
+  m_CheckTimer.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      checkLinks();
+  });
+}
+
 void LinkManager::sendHello(const std::shared_ptr<Link> &Connection) {
   LinkMessage Message;
   *Message.mutable_hello()->mutable_node() = m_Self;
@@ -166,6 +189,7 @@
 
 void LinkManager::onClosed(const std::shared_ptr<Link> &Connection,
                            const std::string &Reason) {
+  m_OpenLinks.erase(Connection);
   for (auto &[Address, Target] : m_DialTargets)
     if (Target.m_Link == Connection && Target.m_WakeTimer)
       Target.m_WakeTimer->cancel();
--- a/src/link/LinkManager.h
+++ b/src/link/LinkManager.h
@@ -7,6 +7,7 @@
 #include "link/Link.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <map>
@@ -30,6 +31,8 @@
 
 struct LinkManagerOptions {
   LinkOptions m_Link;
+  /// How often all links are checked for pings and timeouts that are due.
+  base::Duration m_CheckInterval = base::milliseconds(150);
   /// Time between two attempts to connect.
   base::Duration m_RetryInterval = base::milliseconds(250);
   /// Several round trips between data centres. Short, because a machine without
@@ -91,12 +94,17 @@
   void onHello(const std::shared_ptr<Link> &Connection, const NodeState &Peer);
   void onClosed(const std::shared_ptr<Link> &Connection,
                 const std::string &Reason);
+  void checkLinks();
 
   boost::asio::io_context &m_Io;
   LinkManagerOptions m_Options;
   Handlers m_Handle;
   NodeState m_Self;
   boost::asio::ip::tcp::acceptor m_Acceptor;
+  boost::asio::steady_timer m_CheckTimer;
+  base::TimePoint m_NextCheckAt;
+  bool m_SkippedTimeouts = false; ///< At the last check.
+  std::set<std::shared_ptr<Link>> m_OpenLinks;
   std::map<PeerAddress, DialTarget> m_DialTargets;
   std::map<std::string, ConnectedNode> m_Nodes;
 };
