--- a/src/history/HistorySlots.cpp
+++ b/src/history/HistorySlots.cpp
@@ -39,7 +39,7 @@
     return;
   }
   const base::TimePoint Now = base::readMonotonic();
-  if (NewProgram && m_SlotRequests.isAllocatorLate(Now) &&
+  if (NewProgram && m_SlotRequests.isAllocatorLate(Begin.service(), Now) &&
       isAllocatorHeard(Begin.service())) {
     refuseProgram(From, Received, AllocatorLate, OverloadRetryMs);
     return;
--- a/src/history/SlotRequestTable.cpp
+++ b/src/history/SlotRequestTable.cpp
@@ -1,5 +1,6 @@
 #include "history/SlotRequestTable.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace psp::history {
@@ -67,10 +68,14 @@
   });
 }
 
-bool SlotRequestTable::isAllocatorLate(base::TimePoint Now) const {
-  // Identifiers grow with the time of arrival.
-  return !m_Requests.empty() &&
-         Now - m_Requests.begin()->second.m_ArrivedAt >= m_Options.m_LateTime;
+bool SlotRequestTable::isAllocatorLate(const std::string &Service,
+                                       base::TimePoint Now) const {
+  // Identifiers grow with the time of arrival, so the first is the oldest.
+  const auto Oldest = std::ranges::find_if(m_Requests, [&](const auto &Entry) {
+    return Entry.second.m_Request.begin().service() == Service;
+  });
+  return Oldest != m_Requests.end() &&
+         Now - Oldest->second.m_ArrivedAt >= m_Options.m_LateTime;
 }
 
 void SlotRequestTable::recordReply(std::uint64_t Id, base::TimePoint Now) {
