Repeated probes of an endpoint keep their interval when they fail at once

Found by the review: an attempt to connect that fails for want of a descriptor or a route returns at once, and checkUntilKnown then repeated it without a pause for up to two seconds. The next probe begins when the time-out of the last one would have ended. Read in the code, no test.

--- a/src/gateway/ReachabilityProbe.cpp
+++ b/src/gateway/ReachabilityProbe.cpp
@@ -1,5 +1,8 @@
 #include "gateway/ReachabilityProbe.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <memory>
 #include <utility>
 
@@ -42,9 +45,15 @@
 asio::awaitable<Reachability>
 ReachabilityProbe::checkUntilKnown(std::string Address, base::Duration Limit) {
   const base::TimePoint Deadline = base::readMonotonic() + Limit;
+  base::TimePoint ProbedAt = base::readMonotonic();
   Reachability Result = co_await checkAnew(Address);
-  while (Result == Reachability::Silent && base::readMonotonic() < Deadline)
+  while (Result == Reachability::Silent && base::readMonotonic() < Deadline) {
+    // An attempt may fail at once, for want of a descriptor or a route.
+    asio::steady_timer Pause(m_Io, ProbedAt + m_Timeout);
+    co_await Pause.async_wait(asio::use_awaitable);
+    ProbedAt = base::readMonotonic();
     Result = co_await check(Address);
+  }
   co_return Result;
 }
 
