A data centre counts as silent only by two nodes that don't stop

Found by the review: one control or history node that is stopped or pauses was enough to abandon the answers of a silent endpoint beside it; and 1.3 s is less than two pings of a link (600 to 750 ms each) take. Two nodes that aren't stopping are needed now, unheard for 1.6 s.

--- a/src/node/NodeRuntime.cpp
+++ b/src/node/NodeRuntime.cpp
@@ -22,9 +22,11 @@
 constexpr base::Duration StopDelay = base::milliseconds(300);
 /// How often control nodes send the nodes that they are connected to.
 constexpr base::Duration DirectoryInterval = base::seconds(3);
-/// A node from which nothing has come for this long is not heard: more than two
-/// pings of its link.
-constexpr base::Duration NodeSilenceTime = base::milliseconds(1300);
+/// A node from which nothing has come for this long is not heard: two pings of
+/// its link are missing.
+constexpr base::Duration NodeSilenceTime = base::milliseconds(1600);
+/// So many nodes of a data centre show by their silence that it is cut off.
+constexpr std::size_t MinSilentNodes = 2;
 /// Nodes that no control node has listed for this long are removed from the
 /// directory.
 constexpr base::Duration NodeExpiryTime = base::seconds(25);
@@ -121,19 +123,20 @@
 }
 
 bool NodeRuntime::isDataCentreSilent(const std::string &DataCentre) const {
-  bool AnyInside = false;
+  std::size_t NodesInside = 0;
   bool HeardOutside = false;
   for (const NodeState &Node : m_Nodes.all()) {
-    if (Node.kind() == NODE_ENTRY || Node.name() == m_Self.name())
+    if (Node.kind() == NODE_ENTRY || Node.name() == m_Self.name() ||
+        Node.stopping())
       continue;
     const bool Heard = isHeard(Node.name());
     const bool Inside = Node.data_centre() == DataCentre;
     if (Inside && Heard)
       return false;
-    AnyInside = AnyInside || Inside;
+    NodesInside += Inside ? 1 : 0;
     HeardOutside = HeardOutside || Heard;
   }
-  return AnyInside && HeardOutside;
+  return NodesInside >= MinSilentNodes && HeardOutside;
 }
 
 void NodeRuntime::broadcast(const LinkMessage &Message,
--- a/src/node/NodeRuntime.h
+++ b/src/node/NodeRuntime.h
@@ -75,8 +75,8 @@
   std::size_t connectedNodeCount(messages::fleet::NodeKind Kind) const;
   /// Whether something has come from \p Node lately.
   bool isHeard(const std::string &Node) const;
-  /// Whether control and history nodes of \p DataCentre are known, none of them
-  /// is heard, and one elsewhere is.
+  /// Whether several control and history nodes of \p DataCentre are known, none
+  /// of them is heard, and one elsewhere is.
   bool isDataCentreSilent(const std::string &DataCentre) const;
   /// Sends \p Message to all connected nodes, or to those of \p Kind if given.
   void broadcast(const LinkMessage &Message,
