An allocator of earlier software doesn't say which version has gone

Found by the review: it names no version when it knows no engine, and the instance then refused the stream for good although control had just named endpoints of its version. The version that history gave is kept, and without one the refusal has a time. Read in the code, not run with mixed software.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -349,7 +349,8 @@
   if (LeaderReply->kind() == messages::fleet::REPLY_STREAM_UNKNOWN)
     co_return takeUpRefusal(ErrorKind::StreamUnknown);
   if (LeaderReply->kind() == messages::fleet::REPLY_NO_ENGINE) {
-    m_Software = LeaderReply->software();
+    if (!LeaderReply->software().empty())
+      m_Software = LeaderReply->software();
     co_return co_await versionRefusal(m_Software);
   }
   if (LeaderReply->kind() == messages::fleet::REPLY_BUDGET_SPENT)
--- a/src/gateway/CallStreams.cpp
+++ b/src/gateway/CallStreams.cpp
@@ -92,7 +92,7 @@
       m_Service, [&](const fleet::EndpointState &Endpoint) {
         AnyOfVersion = AnyOfVersion || Endpoint.software() == Software;
       });
-  if (*m_EndpointsRefreshed && !AnyOfVersion)
+  if (*m_EndpointsRefreshed && !AnyOfVersion && !Software.empty())
     co_return takeUpRefusal(ErrorKind::StreamVersionGone);
   logTakeUp("not_in_step");
   co_return Refusal(ErrorKind::NoEndpoint,
