One other crash doesn't hold the path of a held request

Found by the review: three crashes of a held request counted for its path too, so one ordinary end of an endpoint with another request of the path held all of it for a minute. Two crashes that no held request explains are needed now. OneOtherCrashDoesNotHoldThePathOfAHeldRequest guards it; that it fails on the bound before was not run.

--- a/src/coordinator/CrashTracker.cpp
+++ b/src/coordinator/CrashTracker.cpp
@@ -97,7 +97,8 @@
   const std::size_t Counted = Suspected.m_Counted.size();
   const std::size_t Unexplained = unexplained(Suspected.m_Counted);
   if (Suspected.m_IsPath)
-    return Unexplained > 0 && Counted >= m_Options.m_MaxPathCrashes;
+    return Unexplained >= m_Options.m_MinPathCrashes &&
+           Counted >= m_Options.m_MaxPathCrashes;
   const std::size_t Enough = m_HeldPaths.contains(Suspected.m_PathFingerprint)
                                  ? m_Options.m_MaxRelatedCrashes
                                  : m_Options.m_MaxCrashes;
--- a/src/coordinator/CrashTracker.h
+++ b/src/coordinator/CrashTracker.h
@@ -35,6 +35,8 @@
   /// have ended this many endpoints, the path is to be held: each caller sends
   /// what ends endpoints with a body of its own.
   std::size_t m_MaxPathCrashes = 4;
+  /// So many of them were ended by no request that is to be held itself.
+  std::size_t m_MinPathCrashes = 2;
   /// Instances should report a success of a request from this many crashes on.
   std::size_t m_SuspectCrashes = 2;
   /// A request without another crash for this long is forgotten.
--- a/tests/correctness/HeldRequestTest.cpp
+++ b/tests/correctness/HeldRequestTest.cpp
@@ -232,6 +232,17 @@
   EXPECT_EQ(m_Tracker.requestsToHold(), std::vector<std::string>{Path});
 }
 
+TEST_F(CrashTrackerTest, OneOtherCrashDoesNotHoldThePathOfAHeldRequest) {
+  const std::string Deadly = fleet::requestFingerprint("guild", "/a", "deadly");
+  for (int Crash = 0; Crash < 3; ++Crash) {
+    lose(Deadly, std::to_string(Crash));
+    m_Now += milliseconds(300);
+  }
+  EXPECT_EQ(m_Tracker.requestsToHold(), std::vector<std::string>{Deadly});
+  lose(fleet::requestFingerprint("guild", "/a", "sound"), "another");
+  EXPECT_EQ(m_Tracker.requestsToHold(), std::vector<std::string>{Deadly});
+}
+
 TEST_F(CrashTrackerTest, APathThatServesIsNotHeld) {
   // An organisation sends everything to one path.
   for (int Crash = 0; Crash < 40; ++Crash) {
