The watch of links is set again before it looks at them

Found by the review: an exception of a handler that runs when a link closes would have ended the watch of all links.

--- a/src/link/LinkManager.cpp
+++ b/src/link/LinkManager.cpp
@@ -140,23 +140,23 @@
   return Opened;
 }
 
-/// One timer for all links, since a node of a large deployment has hundreds.
+/// One timer for all links: a node of a large deployment has hundreds.
 void LinkManager::checkLinks() {
   const base::TimePoint Now = base::readMonotonic();
   // After a stall of this process, what has arrived is read first.
   const bool Stalled = Now - m_NextCheckAt > m_Options.m_CheckInterval;
   m_SkippedTimeouts = Stalled && !m_SkippedTimeouts;
-  // A link that closes leaves the set.
-  const std::vector<std::shared_ptr<Link>> Links(m_OpenLinks.begin(),
-                                                 m_OpenLinks.end());
-  for (const std::shared_ptr<Link> &Connection : Links)
-    Connection->check(Now, !m_SkippedTimeouts);
   m_NextCheckAt = Now + m_Options.m_CheckInterval;
   m_CheckTimer.expires_at(m_NextCheckAt);
   m_CheckTimer.async_wait([this](boost::system::error_code Error) {
     if (!Error)
       checkLinks();
   });
+  // A link that closes leaves the set.
+  const std::vector<std::shared_ptr<Link>> Links(m_OpenLinks.begin(),
+                                                 m_OpenLinks.end());
+  for (const std::shared_ptr<Link> &Connection : Links)
+    Connection->check(Now, !m_SkippedTimeouts);
 }
 
 void LinkManager::sendHello(const std::shared_ptr<Link> &Connection) {
