Tests of channels expect that the endpoint accepts

EndpointChannel::connect shows one of three things since, and two tests read it as a truth value, so they didn't compile from there on. They check for Accepts now, which is what true meant.

--- a/tests/error/EndlessAnswerTest.cpp
+++ b/tests/error/EndlessAnswerTest.cpp
@@ -70,7 +70,8 @@
   asio::co_spawn(
       Io,
       [&]() -> asio::awaitable<void> {
-        EXPECT_TRUE(co_await Channel.connect(base::seconds(1)));
+        EXPECT_EQ(co_await Channel.connect(base::seconds(1)),
+                  Reachability::Accepts);
         Request Out;
         EXPECT_TRUE(co_await Channel.send(Out));
         if (co_await Channel.readHead())
--- a/tests/error/InterimResponseTest.cpp
+++ b/tests/error/InterimResponseTest.cpp
@@ -38,7 +38,8 @@
   asio::co_spawn(
       Io,
       [&]() -> asio::awaitable<void> {
-        EXPECT_TRUE(co_await Channel.connect(base::seconds(1)));
+        EXPECT_EQ(co_await Channel.connect(base::seconds(1)),
+                  Reachability::Accepts);
         if (co_await Channel.readHead())
           Status = Channel.head().result_int();
         First = Channel.isFirstResponse();
