--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -463,7 +463,8 @@
   if (Now < m_VersionsCheckAt)
     return;
   m_VersionsCheckAt = Now + m_Options.m_VersionCheckInterval;
-  for (const auto &[Service, Timeout] : m_ResumableServices) {
+  for (const auto &Resumable : m_ResumableServices) {
+    const std::string &Service = Resumable.first;
     std::set<std::string> Versions;
     m_Endpoints.forEachUsable(Service,
                               [&](const fleet::EndpointState &Endpoint) {
