--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -62,8 +62,12 @@
   boost::system::error_code Ignored; // The connection works without the option.
   m_Socket.set_option(tcp::no_delay(true), Ignored);
   bool MayBeReused = true;
-  while (MayBeReused && co_await waitForBytes())
+  while (MayBeReused) {
+    const bool HasRequest = co_await waitForBytes();
+    if (!HasRequest)
+      break;
     MayBeReused = co_await serveRequest();
+  }
   m_OperationTimeout.cancel();
   if (!MayBeReused) {
     const Gateway::ActiveCall Counted(m_Gateway);
