The start of each endpoint that a stream goes to is checked

Cause: the record of a stream, by which history compares the endpoint's start with the one it knows, was sent for the first endpoint of a call only.

Change: it is sent for each endpoint that a call goes to, unless history assigned that endpoint. The first record of a stream still counts. A call whose earlier record may be committed stays within its version.

--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -243,7 +243,7 @@
   /// The only version of the endpoints' software that may generate the stream;
   /// empty: any.
   std::string m_Software;
-  bool m_SoftwareRecorded = false; ///< History has m_Software for the stream.
+  bool m_SoftwareRecorded = false; ///< History may have m_Software for it.
   std::shared_ptr<StreamRecord> m_StreamRecord; ///< Null if none was needed.
   /// Age of the record of the stream that is taken up.
   base::Duration m_StreamAge{0};
--- a/src/gateway/CallStreams.cpp
+++ b/src/gateway/CallStreams.cpp
@@ -188,10 +188,17 @@
 }
 
 void Call::recordStreamAsync(const fleet::EndpointState &Endpoint) {
-  if (!canBeTakenUp() || m_SoftwareRecorded || m_StreamRecord ||
+  const bool AssignedByHistory =
+      m_SoftwareRecorded && Endpoint.id() == m_AssignedEndpoint;
+  const bool SameEndpoint = m_StreamRecord &&
+                            m_StreamRecord->m_Endpoint == Endpoint.id() &&
+                            m_StreamRecord->m_Born == Endpoint.born();
+  if (!canBeTakenUp() || AssignedByHistory || SameEndpoint ||
       Endpoint.software().empty() ||
       m_Metadata.m_Id.size() > MaxStreamNameBytes)
     return;
+  // The record for an endpoint that was tried before may be committed.
+  m_SoftwareRecorded = m_SoftwareRecorded || m_StreamRecord;
   m_Software = Endpoint.software();
   m_StreamRecord = std::make_shared<StreamRecord>(m_Gateway.io());
   m_StreamRecord->m_Endpoint = Endpoint.id();
@@ -238,7 +245,7 @@
                           m_StreamRecord->m_Born + 1);
   m_StreamRecord.reset();
   // A new stream may begin at any version.
-  if (!takesUp())
+  if (!takesUp() && !m_SoftwareRecorded)
     m_Software.clear();
 }
 
--- a/tests/process/instance_out_of_step.py
+++ b/tests/process/instance_out_of_step.py
@@ -134,6 +134,32 @@
         self.expect(all(s.last_event() == 1 for s in ended), f"{len(ended)} streams of the version that has ended don't go on")
         await self.heal()
 
+    async def check_restarted_second_endpoint(self):
+        """Streams go on to an endpoint that has started again after another one has failed them."""
+        await self.start_again(self.endpoints["stream"], "v6")
+        await self.cut_off()
+        # The endpoint to which a connection is open is tried first.
+        for endpoint in self.endpoints["stream"]:
+            endpoint.close_connections()
+        before = {endpoint.id: len(endpoint.reached) for endpoint in self.endpoints["stream"]}
+        await self.attempt(Stream("bare", "connects", KEY), BEHIND, False)
+        failing = next(e for e in self.endpoints["stream"] if len(e.reached) > before[e.id])
+        restarted = [e for e in self.endpoints["stream"] if e is not failing]
+        await self.start_again(restarted, "v7")
+        failing.fails = True
+        streams = [Stream("bare", f"second{i}", KEY) for i in range(STREAMS)]
+        for stream in streams:
+            await self.attempt(stream, BEHIND, True)
+        failing.fails = False
+        begun = [s for s in streams if s.versions]
+        refused = sorted({s.refused for s in streams if s.refused})
+        self.expect(failing.failed > 0, f"a first endpoint fails {failing.failed} streams, {len(begun)} begin at another, "
+                    f"refused: {refused}")
+        for stream in begun:
+            await self.attempt(stream, 0, False)
+        self.expect_not_joined(begun, "begun at a second endpoint that had started again")
+        await self.heal()
+
     async def start_again(self, endpoints, software):
         for endpoint in endpoints:
             endpoint.software = software
@@ -159,6 +185,7 @@
     async def check(self):
         await self.check_cut_off()
         await self.check_restarted_endpoints()
+        await self.check_restarted_second_endpoint()
         await self.check_standing_still()
 
 
--- a/tests/process/stream_versions.py
+++ b/tests/process/stream_versions.py
@@ -37,14 +37,24 @@
     def __init__(self, fleet, index, software):
         super().__init__(fleet, "whole" if software == "lone" else "stream", index)
         self.software = software
+        self.fails, self.failed = False, 0  # Before the first event.
+        self.writers = set()
+
+    def close_connections(self):
+        for writer in self.writers:
+            writer.close()
 
     async def _serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").split("\r\n")
                 fields = {k.lower(): v for k, v in (x.split(": ", 1) for x in head[1:] if ": " in x)}
                 await reader.readexactly(int(fields.get("content-length", 0)))
                 self.reached.append(fields["request-id"])
+                if self.fails:
+                    self.failed += 1
+                    return
                 first = int(fields.get("last-event-id", 0)) + 1
                 writer.write((f"HTTP/1.1 200 OK\r\nRequest-Id: {fields['request-id']}\r\nServer-Signature: s\r\n"
                               "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
@@ -62,6 +72,7 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # The instance left, or the test is over.
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def leave(self):
