--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -405,7 +405,7 @@
 void Coordinator::runMaintenance() {
   const base::TimePoint Now = base::readMonotonic();
   const std::vector<EndpointState> Inactive = m_Endpoints.expire(Now);
-  if (!m_Node.isStopping() && canReachEntryInstances())
+  if (!m_Node.isStopping() && !m_Group->leaderNode(ControlGroup).empty())
     m_EndpointCoverage.onListening(Now);
   // A node without contact to a leader may be cut off itself, and then can't
   // decide which endpoints are inactive.
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -325,7 +325,9 @@
         LeaderReply->kind() == messages::fleet::REPLY_NO_ENGINE) {
       if (!LeaderReply->software().empty())
         m_Software = LeaderReply->software();
-      SendAgain = co_await awaitVersion();
+      do {
+        SendAgain = co_await awaitVersion();
+      } while (SendAgain && !isVersionKnown());
     }
   } while (SendAgain && !isCancelled() && base::readMonotonic() < WaitDeadline);
   if (!LeaderReply || LeaderReply->kind() == messages::fleet::REPLY_UNAVAILABLE)
@@ -344,7 +346,7 @@
     // A leader with earlier software doesn't know of versions.
     if (takesUp() && m_Software.empty())
       co_return takeUpRefusal(ErrorKind::StreamUnknown);
-    m_SoftwareRecorded = !LeaderReply->software().empty();
+    m_SoftwareFixed = !LeaderReply->software().empty();
     co_return std::nullopt;
   }
   m_TurnOpen = false;
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -162,9 +162,12 @@
   boost::asio::awaitable<void> learnAssignedEndpoint();
   /// Whether an endpoint of m_Software is known here.
   bool isVersionKnown() const;
+  /// How long the call may still wait for endpoints that this instance doesn't
+  /// know, \p Limit at most.
+  base::Duration versionWaitLeft(base::Duration Limit);
   /// Looks for an endpoint of m_Software at history and control, with a pause
   /// unless that brought the first one. False if waiting longer is of no use:
-  /// none serves, nobody can tell, or the time for it is over.
+  /// none serves, or the time for it is over.
   boost::asio::awaitable<bool> awaitVersion();
   /// Refuses a call that awaitVersion() has found no endpoint for: for good if
   /// none serves.
@@ -179,7 +182,8 @@
   /// recorded in the background unless it is already.
   void recordStreamAsync(const fleet::EndpointState &Endpoint);
   boost::asio::awaitable<void>
-  recordStream(std::shared_ptr<StreamRecord> Record);
+  recordStream(std::shared_ptr<StreamRecord> Record,
+               std::shared_ptr<StreamRecord> Earlier);
   /// Prepares the next try after one that went to a start which has ended.
   void forgetEndedStart();
   /// Waits for the record of the version, and returns whether events may be
@@ -243,7 +247,8 @@
   /// The only version of the endpoints' software that may generate the stream;
   /// empty: any.
   std::string m_Software;
-  bool m_SoftwareRecorded = false; ///< History may have m_Software for it.
+  /// History has m_Software for the stream, or may have.
+  bool m_SoftwareFixed = false;
   std::shared_ptr<StreamRecord> m_StreamRecord; ///< Null if none was needed.
   /// Age of the record of the stream that is taken up.
   base::Duration m_StreamAge{0};
@@ -253,8 +258,8 @@
   std::string m_AssignedEndpoint; ///< Engine that the history leader selected.
   std::uint64_t m_AssignedBorn = 0; ///< Its start; zero: not known.
   bool m_AssignedLearned = false;   ///< Its present start has been asked for.
-  /// Until when the call waits for an endpoint of m_Software; empty: it hasn't
-  /// begun to.
+  /// Until when the call waits for endpoints that this instance doesn't know;
+  /// empty: it hasn't begun to.
   std::optional<TimePoint> m_VersionDeadline;
   bool m_VersionGone = false; ///< No endpoint of m_Software serves.
   std::uint64_t m_Tokens = 0;
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -113,7 +113,7 @@
       if (!MayAppear)
         break;
     }
-    if (!Selected)
+    if (!Selected || isCancelled())
       break;
     AnyCandidate = true;
     // Copied, since the directory may change while the call waits.
@@ -241,6 +241,9 @@
       m_Call.stopInactivityChecks();
     }
   } Cleanup{*this};
+  // An abort that came earlier had nothing to end.
+  if (isCancelled())
+    co_return SendOutcome::Ended;
   if (!Channel->isOpen())
     co_await Channel->connect(
         std::min(m_Gateway.options().m_ConnectTimeout, timeLeft()));
--- a/src/gateway/CallStreams.cpp
+++ b/src/gateway/CallStreams.cpp
@@ -19,12 +19,11 @@
 /// a new stream waits for the record, which is on its way while the endpoint
 /// prepares the event.
 constexpr base::Duration StreamRequestTimeout = base::milliseconds(250);
-/// Timeout for the endpoints of a service that control knows.
+/// Timeout for what control knows of endpoints.
 constexpr base::Duration EndpointsTimeout = base::milliseconds(600);
 /// Maximum time that a call waits for an endpoint of its stream's version to
 /// become known: an announcement interval.
 constexpr base::Duration MaxVersionWait = base::milliseconds(1200);
-constexpr base::Duration VersionSearchInterval = base::milliseconds(100);
 /// A stream with a longer name is not recorded, in bytes.
 constexpr std::size_t MaxStreamNameBytes = 128;
 
@@ -74,15 +73,25 @@
   return !Known || Known->born() < m_AssignedBorn;
 }
 
+base::Duration Call::versionWaitLeft(base::Duration Limit) {
+  const TimePoint Now = base::readMonotonic();
+  if (!m_VersionDeadline)
+    m_VersionDeadline =
+        Now + std::min<base::Duration>(MaxVersionWait, timeLeft() / 2);
+  const auto Left =
+      std::chrono::duration_cast<base::Duration>(*m_VersionDeadline - Now);
+  return std::clamp(Left, base::Duration(0), Limit);
+}
+
 asio::awaitable<void> Call::learnAssignedEndpoint() {
   // History has heard of the start, and may be in reach where control isn't.
-  co_await m_Gateway.findEndpoints(
-      messages::fleet::NODE_HISTORY, m_Service, m_AssignedEndpoint,
-      std::min<base::Duration>(StreamRequestTimeout, timeLeft()));
+  co_await m_Gateway.searchEndpoints(messages::fleet::NODE_HISTORY, m_Service,
+                                     m_AssignedEndpoint,
+                                     versionWaitLeft(StreamRequestTimeout));
   if (isAssignedEndpointUnknown())
-    co_await m_Gateway.findEndpoints(
-        messages::fleet::NODE_CONTROL, m_Service, m_AssignedEndpoint,
-        std::min<base::Duration>(EndpointsTimeout, timeLeft()));
+    co_await m_Gateway.searchEndpoints(messages::fleet::NODE_CONTROL, m_Service,
+                                       m_AssignedEndpoint,
+                                       versionWaitLeft(EndpointsTimeout));
   m_AssignedLearned = true;
   markEarlierStartRemoved(m_AssignedEndpoint, m_AssignedBorn);
 }
@@ -104,27 +113,22 @@
 }
 
 asio::awaitable<bool> Call::awaitVersion() {
-  if (!m_VersionDeadline)
-    m_VersionDeadline =
-        base::readMonotonic() +
-        std::min<base::Duration>(MaxVersionWait, timeLeft() / 2);
-  if (base::readMonotonic() >= *m_VersionDeadline)
-    co_return false;
   const bool KnownBefore = isVersionKnown();
-  co_await m_Gateway.findEndpoints(
-      messages::fleet::NODE_HISTORY, m_Service, "",
-      std::min<base::Duration>(StreamRequestTimeout, timeLeft()));
+  co_await m_Gateway.findEndpoints(messages::fleet::NODE_HISTORY, m_Service,
+                                   versionWaitLeft(StreamRequestTimeout));
   if (!isVersionKnown()) {
     const EndpointSearch Search = co_await m_Gateway.findEndpoints(
-        messages::fleet::NODE_CONTROL, m_Service, "",
-        std::min<base::Duration>(EndpointsTimeout, timeLeft()));
+        messages::fleet::NODE_CONTROL, m_Service,
+        versionWaitLeft(EndpointsTimeout));
     m_VersionGone = Search.m_Complete && !isVersionKnown();
-    if (m_VersionGone || (!Search.m_Answered && !isVersionKnown()))
+    if (m_VersionGone)
       co_return false;
   }
   if (!isVersionKnown() || KnownBefore)
-    co_await m_Gateway.pause(VersionSearchInterval);
-  co_return !isCancelled();
+    co_await m_Gateway.pause(
+        versionWaitLeft(m_Gateway.options().m_EndpointSearchInterval));
+  const bool TimeLeft = versionWaitLeft(MaxVersionWait) > base::Duration(0);
+  co_return TimeLeft && !isCancelled();
 }
 
 Refusal Call::versionRefusal() {
@@ -189,7 +193,7 @@
 
 void Call::recordStreamAsync(const fleet::EndpointState &Endpoint) {
   const bool AssignedByHistory =
-      m_SoftwareRecorded && Endpoint.id() == m_AssignedEndpoint;
+      m_SoftwareFixed && Endpoint.id() == m_AssignedEndpoint;
   const bool SameEndpoint = m_StreamRecord &&
                             m_StreamRecord->m_Endpoint == Endpoint.id() &&
                             m_StreamRecord->m_Born == Endpoint.born();
@@ -197,17 +201,24 @@
       Endpoint.software().empty() ||
       m_Metadata.m_Id.size() > MaxStreamNameBytes)
     return;
-  // The record for an endpoint that was tried before may be committed.
-  m_SoftwareRecorded = m_SoftwareRecorded || m_StreamRecord;
+  if (m_StreamRecord && m_StreamRecord->m_StartEnded)
+    forgetEndedStart();
+  m_SoftwareFixed = m_SoftwareFixed || m_StreamRecord;
   m_Software = Endpoint.software();
-  m_StreamRecord = std::make_shared<StreamRecord>(m_Gateway.io());
+  const auto Earlier = std::exchange(
+      m_StreamRecord, std::make_shared<StreamRecord>(m_Gateway.io()));
   m_StreamRecord->m_Endpoint = Endpoint.id();
   m_StreamRecord->m_Born = Endpoint.born();
   web::spawn(m_Gateway.io().get_executor(), "record_stream",
-             recordStream(m_StreamRecord));
+             recordStream(m_StreamRecord, Earlier));
 }
 
-asio::awaitable<void> Call::recordStream(std::shared_ptr<StreamRecord> Record) {
+asio::awaitable<void>
+Call::recordStream(std::shared_ptr<StreamRecord> Record,
+                   std::shared_ptr<StreamRecord> Earlier) {
+  // A leader replies to the last of several requests for one stream only.
+  if (Earlier)
+    co_await Earlier->m_Finished.wait(StreamRequestTimeout);
   const auto Self = shared_from_this();
   const std::string &GroupName =
       m_IsTurn ? m_Metadata.m_Program : m_Metadata.m_Id;
@@ -245,7 +256,7 @@
                           m_StreamRecord->m_Born + 1);
   m_StreamRecord.reset();
   // A new stream may begin at any version.
-  if (!takesUp() && !m_SoftwareRecorded)
+  if (!takesUp() && !m_SoftwareFixed)
     m_Software.clear();
 }
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -40,9 +40,10 @@
 
 /// Whether a leader with earlier software stays silent on \p Sent, which says
 /// nothing about who leads.
-bool isUnknownToEarlierNodes(const messages::fleet::Request &Sent) {
+bool isUnknownToEarlierNodes(messages::fleet::NodeKind Kind,
+                             const messages::fleet::Request &Sent) {
   return Sent.has_service_version() || Sent.has_find_service_version() ||
-         Sent.has_find_endpoints();
+         (Kind == messages::fleet::NODE_HISTORY && Sent.has_find_endpoints());
 }
 
 } // namespace
@@ -339,7 +340,7 @@
     } else {
       const bool KeepsLeader = !LeaderReply &&
                                Result != LeaderSearch::WaitResult::Search &&
-                               isUnknownToEarlierNodes(LeaderRequest);
+                               isUnknownToEarlierNodes(Kind, LeaderRequest);
       if (!KeepsLeader)
         Search.clearLeader(Node);
       const bool HasHint = LeaderReply && LeaderReply->leader() != Node;
@@ -484,23 +485,60 @@
 
 asio::awaitable<EndpointSearch> Gateway::findEndpoints(NodeKind Kind,
                                                        std::string Service,
-                                                       std::string Endpoint,
                                                        base::Duration Timeout) {
+  SharedSearch &Shared = m_EndpointSearches[{Kind, Service}];
+  const bool IsRecent = base::readMonotonic() - Shared.m_SentAt <
+                        m_Options.m_EndpointSearchInterval;
+  if (IsRecent && !Shared.m_Running && !Shared.m_Last.m_Complete)
+    co_return Shared.m_Last;
+  // A search that has begun before this call can't confirm what it asks for;
+  // those that wait for its end share the next one.
+  const base::TimePoint Deadline = base::readMonotonic() + Timeout;
+  const std::uint64_t BegunBefore = Shared.m_Begun;
+  while (Shared.m_Running) {
+    const auto Left = std::chrono::duration_cast<base::Duration>(
+        Deadline - base::readMonotonic());
+    if (Left <= base::Duration(0))
+      co_return EndpointSearch{};
+    co_await waitForSearch(Shared, Left);
+    if (!Shared.m_Running && Shared.m_Begun > BegunBefore)
+      co_return Shared.m_Last;
+  }
+  ++Shared.m_Begun;
+  Shared.m_Running = true;
+  Shared.m_SentAt = base::readMonotonic();
+  try {
+    Shared.m_Last = co_await searchEndpoints(Kind, Service, {}, Timeout);
+  } catch (...) {
+    finishSearch(Shared);
+    throw;
+  }
+  finishSearch(Shared);
+  co_return Shared.m_Last;
+}
+
+asio::awaitable<void> Gateway::waitForSearch(SharedSearch &Shared,
+                                             base::Duration Timeout) {
+  const auto Finished = std::make_shared<link::Waiter>(io());
+  Shared.m_Waiters.push_back(Finished);
+  co_await Finished->wait(Timeout);
+}
+
+void Gateway::finishSearch(SharedSearch &Shared) {
+  Shared.m_Running = false;
+  for (const auto &Waiting : std::exchange(Shared.m_Waiters, {}))
+    Waiting->fire();
+}
+
+asio::awaitable<EndpointSearch>
+Gateway::searchEndpoints(NodeKind Kind, std::string Service,
+                         std::string Endpoint, base::Duration Timeout) {
   messages::fleet::Request LeaderRequest;
   LeaderRequest.mutable_find_endpoints()->set_service(Service);
   LeaderRequest.mutable_find_endpoints()->set_endpoint(Endpoint);
   if (Kind == NODE_HISTORY)
     LeaderRequest.set_group(groupOfService(Service).value_or(0));
   const base::TimePoint SentAt = base::readMonotonic();
-  RecentSearch *Shared = nullptr;
-  if (Endpoint.empty()) {
-    Shared = &m_RecentSearches[{Kind, Service}];
-    // That nothing else serves is confirmed for each call.
-    if (!Shared->m_Result.m_Complete &&
-        SentAt - Shared->m_SentAt < m_Options.m_EndpointSearchInterval)
-      co_return Shared->m_Result;
-    *Shared = {.m_SentAt = SentAt, .m_Result = {.m_Answered = true}};
-  }
   const auto LeaderReply =
       co_await requestFromLeader(Kind, LeaderRequest, Timeout);
   EndpointSearch Result;
@@ -510,8 +548,6 @@
     for (const auto &Found : LeaderReply->endpoints())
       mergeEndpoint(Found);
   }
-  if (Shared)
-    Shared->m_Result = Result;
   m_Node.log().write(
       "endpoints_searched",
       {{"service", Service},
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -73,8 +73,8 @@
   /// A stopping instance accepts calls for at least this long, until the
   /// balancer has detected that it is not ready.
   base::Duration m_StopDrainTime = base::milliseconds(3000);
-  /// All endpoints of a service are searched for at most this often, except to
-  /// confirm that no others serve.
+  /// The result of a search for the endpoints of a service is used for this
+  /// long, unless it says that there are no others.
   base::Duration m_EndpointSearchInterval = base::milliseconds(100);
   /// The endpoint of an abandoned call, which may still execute it, is checked
   /// this often, with a pause before each check.
@@ -97,7 +97,7 @@
 /// What a search for the endpoints of a service has found out besides them.
 struct EndpointSearch {
   bool m_Answered = false; ///< A leader replied.
-  bool m_Complete = false; ///< No endpoint that this instance lacks serves.
+  bool m_Complete = false; ///< No other endpoint announces itself.
 };
 
 class Gateway {
@@ -169,10 +169,15 @@
   /// known.
   std::optional<std::uint32_t> groupOfService(const std::string &Service) const;
   /// Merges what a leader of the nodes of \p Kind knows of the endpoints of
-  /// \p Service, or of \p Endpoint only unless that is empty.
+  /// \p Service. Calls share the search.
   boost::asio::awaitable<EndpointSearch>
   findEndpoints(messages::fleet::NodeKind Kind, std::string Service,
-                std::string Endpoint, base::Duration Timeout);
+                base::Duration Timeout);
+  /// The same for this call alone, and for \p Endpoint only unless that is
+  /// empty.
+  boost::asio::awaitable<EndpointSearch>
+  searchEndpoints(messages::fleet::NodeKind Kind, std::string Service,
+                  std::string Endpoint, base::Duration Timeout);
   /// Suspends a coroutine.
   boost::asio::awaitable<void> pause(base::Duration Length);
   RateShares &rates() { return m_Rates; }
@@ -271,14 +276,20 @@
   fleet::LeaderTable m_Leaders;
   std::map<std::uint32_t, LeaderSearch> m_HistorySearches; ///< By group.
   LeaderSearch m_ControlSearch;
-  /// The last search for all endpoints of a service. Calls share it, since many
-  /// come back at once after a restart of everything.
-  struct RecentSearch {
-    base::TimePoint m_SentAt;
-    EndpointSearch m_Result;
+  /// A search for all endpoints of a service. Calls share it, since many come
+  /// back at once after a restart of everything.
+  struct SharedSearch {
+    bool m_Running = false;
+    std::uint64_t m_Begun = 0; ///< Number of searches.
+    base::TimePoint m_SentAt;  ///< Of the last search.
+    EndpointSearch m_Last;     ///< Result of the last one that has ended.
+    std::vector<std::shared_ptr<link::Waiter>> m_Waiters; ///< For its end.
   };
-  std::map<std::pair<messages::fleet::NodeKind, std::string>, RecentSearch>
-      m_RecentSearches;
+  boost::asio::awaitable<void> waitForSearch(SharedSearch &Shared,
+                                             base::Duration Timeout);
+  void finishSearch(SharedSearch &Shared);
+  std::map<std::pair<messages::fleet::NodeKind, std::string>, SharedSearch>
+      m_EndpointSearches;
   std::size_t m_NextNode = 0;
   base::TimePoint m_StartedAt;
   /// Of calls that wait for the first route table.
--- a/src/history/HistoryStreams.cpp
+++ b/src/history/HistoryStreams.cpp
@@ -87,6 +87,15 @@
     reply(From, Received.id(), std::move(Outgoing));
     return;
   }
+  // The first record counts, so a later one needs no entry.
+  if (const turns::StreamVersion *Recorded = State.ledger().streams().find(
+          Received.stream().organisation(), Received.stream().stream())) {
+    Reply Outgoing;
+    Outgoing.set_kind(messages::fleet::REPLY_OK);
+    Outgoing.set_software(Recorded->m_Software);
+    reply(From, Received.id(), std::move(Outgoing));
+    return;
+  }
   if (!State.coalesce(From, Received))
     propose(From, Received, {});
 }
@@ -147,12 +156,16 @@
 }
 
 /// An instance that is cut off from control learns of the endpoints to which
-/// its turns are assigned.
+/// its turns are assigned. Endpoints that are silent may have ended long ago.
 void HistoryNode::replyToFindEndpoints(const std::string &From,
                                        const Request &Received) {
+  Reply Known;
+  fleet::listEndpoints(Received.find_endpoints(), m_Endpoints, Known);
   Reply Outgoing;
   Outgoing.set_kind(messages::fleet::REPLY_OK);
-  fleet::listEndpoints(Received.find_endpoints(), m_Endpoints, Outgoing);
+  for (const fleet::EndpointState &Endpoint : Known.endpoints())
+    if (!Endpoint.silent())
+      *Outgoing.add_endpoints() = Endpoint;
   reply(From, Received.id(), std::move(Outgoing));
 }
 
--- a/tests/process/stream_versions.py
+++ b/tests/process/stream_versions.py
@@ -26,6 +26,7 @@
 READY_S = 20
 NEW_LEADER_S = 4
 GONE_S = 1.0  # In which all nodes hear of endpoints that have left.
+LISTENS_S = 5.0  # After a restart control knows which endpoints serve.
 BEGIN_TRIES = 3
 ROUTES = ("turn", "bare")  # With and without a token budget.
 LONE_ROUTES = ("lone-turn", "lone-bare")  # Of a service with one version.
@@ -241,6 +242,7 @@
         self.expect_joined(streams, "without a name, one version", STREAMS)
 
     async def check_gone(self):
+        await asyncio.sleep(LISTENS_S)
         streams = await self.begin_some()
         for endpoint in self.endpoints["stream"][:2]:
             await endpoint.leave()
