--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,9 +16,9 @@
 RETENTION_S = 60.0
 FRONTS = 9
 CALLERS_OF_FRONT = 8
-THINK_S = 0.03  # Between two turns of a caller.
+THINK_S = 0.012 # Between two turns of a caller.
 SAMPLE = 20  # Turns without delay whose programs come back, too.
-FREEZES = 10
+FREEZES = 12
 FREEZE_S = 2.2  # The site's node_freeze lasts 3.2 s, a turn's time budget is 3 s.
 PAUSE_S = 0.35
 LATE_S = 1.5
