Retain a turn's chain while a later turn runs

Cause: a begin only checked that the previous turn is retained. The end of the new turn expired it, and was then retained with a link to a turn that no longer exists; the next begin looked at the last turn only, and a missing text became an empty one. State expired that a running call needed, and an empty value stood for an error.

Change: a begin retains the chain until the turn's end can have arrived (the entry instance states how long the turn may run). A turn is granted and retained only with its complete chain; an end without it is refused, so its answer is broken off and not ended. No text is ever replaced by an empty one.

Related paths: chains copied from another group (a retained turn like others, extended by the begin as well), versions of streams (retained from the begin for the timeout and the time of a take-up, so they outlast the stream), budgets (a turn that runs for over two minutes beyond the retention time lost its reservation: fixed here, the same expiry).

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -292,6 +292,7 @@
   if (m_Route->m_RetainsTurns)
     Begin.set_previous(m_Metadata.m_PreviousTurn);
   Begin.set_retention_ms(base::wholeMilliseconds(m_Route->m_Retention));
+  Begin.set_time_left_ms(base::wholeMilliseconds(timeLeft()));
   Begin.set_service(m_Service);
   Begin.set_prompt_prefix(m_Metadata.m_PromptPrefix);
   describeStream(Begin);
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -251,7 +251,7 @@
   const auto &Begin = Received.begin();
   const HostedGroup &Group = *m_Hosted.at(Received.group());
   if (!Begin.previous().empty() &&
-      !Group.m_State.ledger().hasTurn(Begin.organisation(), Begin.previous()))
+      !Group.m_State.ledger().hasChain(Begin.organisation(), Begin.previous()))
     web::spawn(m_Node.io().get_executor(), "begin_from_other_group",
                beginFromOtherGroup(From, Received));
   else
--- a/src/history/HistoryStateMachine.cpp
+++ b/src/history/HistoryStateMachine.cpp
@@ -82,9 +82,13 @@
     return Answer;
   }
   try {
-    if (!Begin.previous().empty())
-      Answer.set_text(
-          chainText(Begin.organisation(), Begin.previous()).value_or(""));
+    if (!Begin.previous().empty()) {
+      auto Text = chainText(Begin.organisation(), Begin.previous());
+      if (!Text)
+        throw base::UserError(base::ErrorKind::Internal,
+                              "the chain of a turn that began is incomplete");
+      Answer.set_text(std::move(*Text));
+    }
   } catch (const base::UserError &Error) {
     // Another member has an undamaged copy.
     m_ReadErrors.emplace_back(Error.what());
--- a/src/turns/TurnLedger.cpp
+++ b/src/turns/TurnLedger.cpp
@@ -61,7 +61,7 @@
 
 void TurnLedger::begin(const BeginTurn &Command, std::uint64_t WallMs) {
   const bool Continues = !Command.previous().empty();
-  if (Continues && !hasTurn(Command.organisation(), Command.previous())) {
+  if (Continues && !hasChain(Command.organisation(), Command.previous())) {
     m_LastBeginOutcome = BeginOutcome::NoSuchTurn;
     return;
   }
@@ -71,8 +71,20 @@
     return;
   }
   m_LastBeginOutcome = reserve(Command, WallMs);
-  if (m_LastBeginOutcome == BeginOutcome::Granted)
-    recordVersion(Command, WallMs);
+  if (m_LastBeginOutcome != BeginOutcome::Granted)
+    return;
+  if (Continues)
+    extendChain(keyOf(Command.organisation(), Command.previous()),
+                latestEndMs(Command, WallMs));
+  recordVersion(Command, WallMs);
+}
+
+std::uint64_t TurnLedger::latestEndMs(const BeginTurn &Command,
+                                      std::uint64_t WallMs) const {
+  const std::uint64_t TurnTimeMs = Command.time_left_ms() > 0
+                                       ? Command.time_left_ms()
+                                       : m_Options.m_DefaultTurnTimeMs;
+  return WallMs + TurnTimeMs + m_Options.m_TurnGraceMs;
 }
 
 /// A stream that takes up another one is of that one's version.
@@ -107,7 +119,8 @@
                                  std::uint64_t WallMs) {
   ProgramState &State = findOrAddProgram(
       Command.organisation(), Command.program(),
-      WallMs + Command.retention_ms() + m_Options.m_ProgramGraceMs);
+      WallMs + Command.time_left_ms() + Command.retention_ms() +
+          m_Options.m_ProgramGraceMs);
   if (State.m_Reserved.contains(Command.turn()))
     return BeginOutcome::Granted;
   if (State.m_Ended.contains(Command.turn()))
@@ -136,23 +149,28 @@
 
 void TurnLedger::retain(std::uint64_t Index, const EndTurn &Command,
                         std::uint64_t WallMs) {
+  // Later turns would run without the part of the chain that is missing.
+  if (!Command.previous().empty() &&
+      !hasChain(Command.organisation(), Command.previous()))
+    return;
   const std::uint64_t ExpiresMs = WallMs + Command.retention_ms();
   const Key TurnKey = keyOf(Command.organisation(), Command.turn());
-  storeTurn(TurnKey, {.m_Previous = Command.previous().empty()
-                                        ? Key()
-                                        : keyOf(Command.organisation(),
-                                                Command.previous()),
+  const Key Previous = Command.previous().empty()
+                           ? Key()
+                           : keyOf(Command.organisation(), Command.previous());
+  storeTurn(TurnKey, {.m_Previous = Previous,
                       .m_EntryIndex = Index,
                       .m_ExpiresMs = ExpiresMs});
-  // All turns of the chain are retained at least as long as their last one.
-  const RetainedTurn *Oldest = &m_Turns.at(TurnKey);
-  while (!Oldest->m_Previous.empty()) {
-    const auto Previous = m_Turns.find(Oldest->m_Previous);
-    if (Previous == m_Turns.end() || Previous->second.m_ExpiresMs >= ExpiresMs)
-      break;
-    Previous->second.m_ExpiresMs = ExpiresMs;
-    Oldest = &Previous->second;
-  }
+  extendChain(Previous, ExpiresMs);
+}
+
+/// No turn expires before the turns that continue from it, so the walk ends at
+/// the first one that is retained long enough.
+void TurnLedger::extendChain(const Key &TurnKey, std::uint64_t ExpiresMs) {
+  for (auto It = m_Turns.find(TurnKey);
+       It != m_Turns.end() && It->second.m_ExpiresMs < ExpiresMs;
+       It = m_Turns.find(It->second.m_Previous))
+    It->second.m_ExpiresMs = ExpiresMs;
 }
 
 void TurnLedger::adopt(std::uint64_t Index,
@@ -192,6 +210,11 @@
   return m_Turns.contains(keyOf(Organisation, Turn));
 }
 
+bool TurnLedger::hasChain(const std::string &Organisation,
+                          const std::string &Turn) const {
+  return chainEntries(Organisation, Turn).has_value();
+}
+
 bool TurnLedger::hasProgram(const std::string &Organisation,
                             const std::string &Program) const {
   return m_Programs.contains(keyOf(Organisation, Program));
--- a/src/turns/TurnLedger.h
+++ b/src/turns/TurnLedger.h
@@ -34,6 +34,12 @@
   /// retention time, in milliseconds. An agent loop that was stopped may resume
   /// within the retention time.
   std::uint64_t m_ProgramGraceMs = 120'000;
+  /// How long a turn may run if its begin states no time, in milliseconds.
+  std::uint64_t m_DefaultTurnTimeMs = 30'000;
+  /// The end of a turn may be recorded this long after the time that the turn
+  /// may run, in milliseconds: the clocks of two leaders differ, and its begin
+  /// may have waited in a queue.
+  std::uint64_t m_TurnGraceMs = 10'000;
 };
 
 /// Deterministic. A turn reserves its maximum number of tokens before it is
@@ -42,6 +48,9 @@
 /// whatever fails in between. A turn whose entry instance failed keeps its
 /// reservation.
 ///
+/// The chain that a turn continues from is retained while the turn may run, so
+/// that its end finds it. A turn is only retained with its complete chain.
+///
 /// The texts of turns stay in the log; the ledger holds the indexes of their
 /// entries.
 class TurnLedger {
@@ -65,6 +74,8 @@
   /// before it, oldest first; empty if \p Organisation has no such turn.
   std::optional<std::vector<std::uint64_t>>
   chainEntries(const std::string &Organisation, const std::string &Turn) const;
+  /// Whether \p Turn and all turns before it are retained.
+  bool hasChain(const std::string &Organisation, const std::string &Turn) const;
   /// Index of the oldest entry whose text is needed, if any.
   std::optional<std::uint64_t> oldestEntry() const;
   bool hasTurn(const std::string &Organisation, const std::string &Turn) const;
@@ -103,6 +114,11 @@
   void adopt(std::uint64_t Index, const messages::fleet::AdoptTurn &Command,
              std::uint64_t WallMs);
   void storeTurn(const Key &TurnKey, RetainedTurn Turn);
+  /// Retains the turn and all turns before it until \p ExpiresMs at least.
+  void extendChain(const Key &TurnKey, std::uint64_t ExpiresMs);
+  /// When the last record of the turn that \p Command begins can arrive.
+  std::uint64_t latestEndMs(const BeginTurn &Command,
+                            std::uint64_t WallMs) const;
   void expire(std::uint64_t WallMs);
   ProgramState &findOrAddProgram(const std::string &Organisation,
                                  const std::string &Program,
--- a/tests/correctness/TurnLedgerTest.cpp
+++ b/tests/correctness/TurnLedgerTest.cpp
@@ -16,7 +16,8 @@
 class TurnLedgerTest : public testing::Test {
 protected:
   BeginOutcome begin(const std::string &Turn, std::uint64_t MaxTokens,
-                     const std::string &Previous = "") {
+                     const std::string &Previous = "",
+                     std::uint64_t TimeLeftMs = 0) {
     HistoryCommand Command;
     auto &Begin = *Command.mutable_begin();
     Begin.set_turn(Turn);
@@ -26,6 +27,7 @@
     Begin.set_most(MaxTokens);
     Begin.set_previous(Previous);
     Begin.set_retention_ms(60'000);
+    Begin.set_time_left_ms(TimeLeftMs);
     m_Ledger.apply(++m_Index, Command, m_WallMs);
     return m_Ledger.lastBeginOutcome();
   }
@@ -131,6 +133,58 @@
   }
 }
 
+/// Guards against turns that run without their program's history: the chain
+/// expired while a turn that continues from it was running.
+TEST_F(TurnLedgerTest, AChainOutlivesTheTurnThatContinuesFromIt) {
+  begin("a", 10);
+  end("a", 10, "one ");
+  begin("b", 10, "a");
+  end("b", 10, "two ", "a");
+  m_WallMs += 59'600;
+  ASSERT_EQ(begin("c", 10, "b"), BeginOutcome::Granted);
+  {
+    SCOPED_TRACE("the turn ends after the retention of the turns before it");
+    m_WallMs += 1'700;
+    end("c", 10, "three ", "b");
+    EXPECT_EQ(chainText("guild", "c"), "one two three ");
+  }
+  {
+    SCOPED_TRACE("the next turn has all of them");
+    EXPECT_EQ(begin("d", 10, "c"), BeginOutcome::Granted);
+    EXPECT_EQ(chainText("guild", "c"), "one two three ");
+  }
+}
+
+/// Guards against a chain and a reservation that expire under a turn that may
+/// run for longer than the retention time.
+TEST_F(TurnLedgerTest, ALongTurnKeepsItsChainAndItsReservation) {
+  begin("a", 10);
+  end("a", 10, "one ");
+  ASSERT_EQ(begin("b", 80, "a", 300'000), BeginOutcome::Granted);
+  m_WallMs += 290'000;
+  EXPECT_EQ(begin("c", 40), BeginOutcome::BudgetSpent);
+  end("b", 80, "two ", "a");
+  EXPECT_EQ(chainText("guild", "b"), "one two ");
+}
+
+/// Guards against a turn that is retained with a part of its chain only.
+TEST_F(TurnLedgerTest, ATurnWithoutItsChainIsNotRetained) {
+  begin("a", 10);
+  end("a", 10, "one ");
+  begin("b", 10, "a");
+  {
+    SCOPED_TRACE("its end comes long after the time that it may run");
+    m_WallMs += 200'000;
+    end("b", 10, "two ", "a");
+    EXPECT_FALSE(m_Ledger.hasTurn("guild", "b"));
+    EXPECT_EQ(begin("c", 10, "b"), BeginOutcome::NoSuchTurn);
+  }
+  {
+    SCOPED_TRACE("its tokens are charged");
+    EXPECT_GE(m_Ledger.committedTokens("guild", "p"), 10U);
+  }
+}
+
 /// The log may delete the entries before the oldest one that is needed.
 TEST_F(TurnLedgerTest, ReturnsTheOldestEntryThatIsNeeded) {
   EXPECT_EQ(m_Ledger.oldestEntry(), std::nullopt);
