Retain turns for the time after the end of their response

Cause: history counted the retention time from the wall clock of the leader that took the record, the caller from the end that followed. Nothing covered the time between them, nor clocks that differ.

Change: the entry instance has turns retained for a margin longer, checks the record's age (by a clock that runs while the machine is suspended) before it writes the end and after it, and renews a record that is too old. Without a renewal the answer is broken off, so no turn ends as whole that history may forget too early. A repeated end of a turn extends its retention and changes nothing else.

ATurnIsKnownForItsRetentionTimeAfterALateEnd fails with the retention time that was recorded before, and passes.

--- a/src/base/Time.cpp
+++ b/src/base/Time.cpp
@@ -1,5 +1,7 @@
 #include "base/Time.h"
 
+#include <ctime>
+
 namespace psp::base {
 
 TimePoint readMonotonic() {
@@ -7,6 +9,14 @@
       std::chrono::steady_clock::now());
 }
 
+Duration readBootTime() {
+  timespec Reading{};
+  ::clock_gettime(CLOCK_BOOTTIME, &Reading);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(Reading.tv_sec) +
+      std::chrono::nanoseconds(Reading.tv_nsec));
+}
+
 Now readClocks() {
   const auto Wall = std::chrono::system_clock::now().time_since_epoch();
   return {
--- a/src/base/Time.h
+++ b/src/base/Time.h
@@ -33,6 +33,9 @@
 Now readClocks();
 /// Reads the monotonic one only.
 TimePoint readMonotonic();
+/// Time since the machine started. Unlike the monotonic clock, it also passes
+/// while the machine is suspended.
+Duration readBootTime();
 
 /// For fields of messages that count milliseconds.
 constexpr std::uint64_t wholeMilliseconds(Duration Length) {
--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -428,7 +428,8 @@
   End.set_event_gap_us(m_EventGapUs);
   for (const std::string &Endpoint : m_UnreachableEndpoints)
     *End.add_silent() = Endpoint;
-  End.set_retention_ms(base::wholeMilliseconds(m_Route->m_Retention));
+  End.set_retention_ms(
+      base::wholeMilliseconds(m_TurnRecord.retention(m_Route->m_Retention)));
   if (Complete && m_Route->m_RetainsTurns) {
     End.set_keep(true);
     End.set_previous(m_Metadata.m_PreviousTurn);
@@ -443,13 +444,26 @@
   *LeaderRequest.mutable_end() = makeEndTurn(true);
   LeaderRequest.set_group(
       m_Gateway.groupOf(organisationName(), m_Metadata.m_Program).value_or(0));
-  const auto LeaderReply = co_await m_Gateway.requestFromLeader(
-      messages::fleet::NODE_HISTORY, LeaderRequest, timeLeft());
-  const bool Recorded =
-      LeaderReply && LeaderReply->kind() == messages::fleet::REPLY_OK;
-  if (Recorded)
+  do {
+    m_TurnRecord.onSent(base::readBootTime());
+    const auto LeaderReply = co_await m_Gateway.requestFromLeader(
+        messages::fleet::NODE_HISTORY, LeaderRequest, timeLeft());
+    if (!LeaderReply || LeaderReply->kind() != messages::fleet::REPLY_OK)
+      co_return false;
     m_TurnOpen = false;
-  co_return Recorded;
+  } while (m_TurnRecord.isOld(base::readBootTime()));
+  co_return true;
+}
+
+void Call::renewOldRecord() {
+  if (!m_IsTurn || !m_Route->m_RetainsTurns ||
+      !m_TurnRecord.isOld(base::readBootTime()))
+    return;
+  m_Gateway.node().log().write("turn_record_renewed",
+                               {{"request", m_Metadata.m_Id},
+                                {"organisation", organisationName()},
+                                {"program", m_Metadata.m_Program}});
+  m_Gateway.recordTurnEndAsync(makeEndTurn(true));
 }
 
 void Call::settleTurnAsync(bool Failed) {
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -12,6 +12,7 @@
 #include "gateway/EventStream.h"
 #include "gateway/InactivityMonitor.h"
 #include "gateway/LostCall.h"
+#include "gateway/TurnRecord.h"
 #include "link/RequestTable.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -126,6 +127,8 @@
   // Turns.
   messages::fleet::EndTurn makeEndTurn(bool Complete) const;
   boost::asio::awaitable<bool> recordTurn();
+  /// Renews the record in the background if the response ended long after it.
+  void renewOldRecord();
   /// Records in the background that the turn has ended, without its text.
   void settleTurnAsync(bool Failed);
 
@@ -254,6 +257,7 @@
   base::Duration m_StreamAge{0};
   bool m_IsTurn = false;
   bool m_TurnOpen = false; ///< Its tokens are reserved, its end not recorded.
+  TurnRecord m_TurnRecord;
   std::string m_EarlierTurns;
   std::string m_AssignedEndpoint; ///< Engine that the history leader selected.
   std::uint64_t m_AssignedBorn = 0; ///< Its start; zero: not known.
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -587,6 +587,7 @@
     End += LastChunk;
   if (!co_await write(End))
     co_return SendOutcome::Broken;
+  renewOldRecord();
   setResetOnClose(false);
   co_return SendOutcome::Answered;
 }
--- a/src/turns/TurnLedger.cpp
+++ b/src/turns/TurnLedger.cpp
@@ -139,8 +139,13 @@
   ProgramState &State = findOrAddProgram(
       Command.organisation(), Command.program(),
       WallMs + Command.retention_ms() + m_Options.m_ProgramGraceMs);
-  if (!State.m_Ended.insert(Command.turn()).second)
+  if (!State.m_Ended.insert(Command.turn()).second) {
+    // A turn that has been retained is not retained again without its text.
+    if (Command.keep())
+      extendChain(keyOf(Command.organisation(), Command.turn()),
+                  WallMs + Command.retention_ms());
     return;
+  }
   State.m_Reserved.erase(Command.turn());
   State.m_Spent += Command.tokens();
   if (Command.keep())
