Keep the number of entry instances in the control group's state

Cause: rates are divided by the number of entry instances that control nodes had counted since their start, in memory and every 500 ms. The configuration went out before that; an instance read 0 as being the only one, and each took the whole divided part.

Change: the number is recorded in the control group, so that a control node has it before it sends a configuration. Without a recorded number it is unknown until all instances could connect, and an instance that doesn't know it takes all its tokens from the leader's bucket. A new instance is counted before it gets the configuration. After two hours with fewer instances the number is lowered.

Tests changed: LastTokensAreReservedForProgramsThatHaveBegun states that there is one instance, which was the default before; what it checks is the same.

--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -144,6 +144,8 @@
   // Before the configuration, without which an instance serves nothing.
   if (Peer.kind() == NODE_ENTRY && m_PublishedHolds > 0)
     m_Node.links().send(Peer.name(), heldRequestsMessage());
+  if (Peer.kind() == NODE_ENTRY)
+    countEntryInstances();
   if (group().isCurrent())
     m_Node.links().send(Peer.name(), configurationMessage(Peer.kind()));
 }
@@ -280,6 +282,7 @@
   if (m_WaitersTerm != Group.term()) {
     m_WaitersTerm = Group.term();
     m_TokenAllocator.reset(base::readMonotonic());
+    m_ProposedEntryInstances.reset();
     m_PendingHolds.clear();
     for (const auto &[Index, Waiting] : m_CommitWaiters)
       Waiting->fire(false);
@@ -303,6 +306,7 @@
 
 void Coordinator::publishConfiguration() {
   m_PublishedRevision = m_StateMachine.revision();
+  countEntryInstances();
   try {
     if (m_StateMachine.version() > 0)
       m_Configuration = m_Codec.decode(m_StateMachine.document());
@@ -335,10 +339,31 @@
   } else {
     Update.set_document(m_StateMachine.document());
   }
-  Update.set_entry_instances(static_cast<std::uint32_t>(m_PeakEntryInstances));
+  Update.set_entry_instances(m_EntryInstances.divisor(base::readMonotonic()));
   return Message;
 }
 
+void Coordinator::countEntryInstances() {
+  const base::TimePoint Now = base::readMonotonic();
+  const auto Connected =
+      static_cast<std::uint32_t>(m_Node.connectedNodeCount(NODE_ENTRY));
+  m_EntryInstances.update(Connected, m_StateMachine.entryInstances(), Now);
+  const auto Changed = m_EntryInstances.toRecord(Now);
+  if (!Changed || !group().isEstablishedLeader() ||
+      m_ProposedEntryInstances == Changed)
+    return;
+  messages::fleet::ControlGroupCommand Command;
+  Command.set_entry_instances(*Changed);
+  m_Node.log().write("entry_instances_recorded",
+                     {{"connected", Connected},
+                      {"before", m_StateMachine.entryInstances()},
+                      {"recorded", *Changed}});
+  // Set first, since a group of one member commits before propose() returns.
+  m_ProposedEntryInstances = Changed;
+  if (!m_Group->propose(ControlGroup, Command.SerializeAsString()))
+    m_ProposedEntryInstances.reset();
+}
+
 /// Creates the history groups, once: the leader chooses their initial members.
 void Coordinator::bootstrapHistory() {
   if (!group().isEstablishedLeader() || !m_StateMachine.historyGroups().empty())
@@ -378,7 +403,7 @@
 bool Coordinator::canReachEntryInstances() {
   const std::size_t EntryInstances = m_Node.connectedNodeCount(NODE_ENTRY);
   return !m_Group->leaderNode(ControlGroup).empty() ||
-         (EntryInstances > 0 && EntryInstances * 2 >= m_PeakEntryInstances);
+         (EntryInstances > 0 && EntryInstances * 2 >= m_EntryInstances.peak());
 }
 
 void Coordinator::broadcastEndpoint(const EndpointState &Endpoint) {
@@ -412,11 +437,11 @@
   if (!m_Group->leaderNode(ControlGroup).empty())
     for (const EndpointState &Endpoint : Inactive)
       broadcastEndpoint(Endpoint);
-  const std::size_t EntryInstances = m_Node.connectedNodeCount(NODE_ENTRY);
-  if (EntryInstances > m_PeakEntryInstances) {
-    m_PeakEntryInstances = EntryInstances;
-    if (group().isCurrent())
-      m_Node.broadcast(configurationMessage(NODE_ENTRY), NODE_ENTRY);
+  countEntryInstances();
+  const std::uint32_t Divisor = m_EntryInstances.divisor(Now);
+  if (Divisor != m_PublishedDivisor && group().isCurrent()) {
+    m_PublishedDivisor = Divisor;
+    m_Node.broadcast(configurationMessage(NODE_ENTRY), NODE_ENTRY);
   }
   bootstrapHistory();
   holdSuspects();
--- a/src/coordinator/Coordinator.h
+++ b/src/coordinator/Coordinator.h
@@ -7,6 +7,7 @@
 
 #include "coordinator/ControlProtocol.h"
 #include "coordinator/CrashTracker.h"
+#include "coordinator/EntryInstanceCount.h"
 #include "coordinator/TokenAllocator.h"
 #include "fleet/ControlStateMachine.h"
 #include "fleet/DirectoryCoverage.h"
@@ -74,6 +75,8 @@
   void onProgress();
   void publishConfiguration();
   LinkMessage configurationMessage(messages::fleet::NodeKind For) const;
+  /// Counts the entry instances that are connected, and has a change recorded.
+  void countEntryInstances();
   void bootstrapHistory();
   bool canReachEntryInstances();
 
@@ -135,7 +138,11 @@
   std::map<std::uint64_t, link::Waiter *> m_ReadWaiters;
   std::uint64_t m_WaitersTerm = 0; ///< Term in which the waiters began.
   std::uint64_t m_PublishedRevision = 0;
-  std::size_t m_PeakEntryInstances = 0; ///< Most connected at once.
+  EntryInstanceCount m_EntryInstances{base::readMonotonic()};
+  /// Proposed in this term.
+  std::optional<std::uint32_t> m_ProposedEntryInstances;
+  /// The number that entry instances were last told to divide rates by.
+  std::uint32_t m_PublishedDivisor = 0;
   /// Since when enough history nodes are connected.
   std::optional<base::TimePoint> m_EnoughHistoryNodesAt;
   /// Announcements that are not yet forwarded to the other control nodes.
--- a/src/fleet/ControlStateMachine.cpp
+++ b/src/fleet/ControlStateMachine.cpp
@@ -24,6 +24,8 @@
     m_State.add_retiring(Parsed.retire().member());
     ++m_Revision;
   }
+  if (Parsed.entry_instances() > 0)
+    m_State.set_entry_instances(Parsed.entry_instances());
   if (Parsed.has_hold())
     m_HeldRequests.hold(Parsed.hold(), Index, WallMs);
   if (Parsed.has_release())
--- a/src/fleet/ControlStateMachine.h
+++ b/src/fleet/ControlStateMachine.h
@@ -1,7 +1,8 @@
 /// \file
 /// The replicated state of the control group: the configuration with the
 /// highest version, the initial members of the history groups, the disks that
-/// are to be emptied, and the requests that are kept from endpoints.
+/// are to be emptied, the number of entry instances, and the requests that are
+/// kept from endpoints.
 
 #ifndef PSP_FLEET_CONTROLSTATEMACHINE_H
 #define PSP_FLEET_CONTROLSTATEMACHINE_H
@@ -34,9 +35,12 @@
   /// Identities of the disks that are to be emptied.
   const auto &retiring() const { return m_State.retiring(); }
   bool isRetiring(const std::string &Member) const;
+  /// Number of entry instances that rates are divided among; zero before it is
+  /// recorded.
+  std::uint32_t entryInstances() const { return m_State.entry_instances(); }
   const HeldRequestList &heldRequests() const { return m_HeldRequests; }
-  /// Incremented by each change, except of the held requests,
-  /// so that a publisher can detect changes.
+  /// Incremented by each change, except of the held requests and the number of
+  /// entry instances, so that a publisher can detect changes.
   std::uint64_t revision() const { return m_Revision; }
 
 private:
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -295,7 +295,7 @@
   /// Of calls that wait for the first route table.
   std::set<link::Waiter *> m_RouteTableWaiters;
   base::TimePoint m_LeaderRepliedAt;
-  std::uint32_t m_EntryInstances = 1;
+  std::uint32_t m_EntryInstances = 0; ///< Zero: not known.
   boost::asio::ip::tcp::acceptor m_Acceptor;
   std::unique_ptr<web::HttpServer> m_ReadinessServer;
   boost::asio::steady_timer m_MaintenanceTimer;
--- a/src/gateway/RateShares.cpp
+++ b/src/gateway/RateShares.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace psp::gateway {
 
@@ -11,7 +12,8 @@
     return RateDecision::Pass;
   const auto [It, Inserted] = m_Buckets.try_emplace(Organisation.m_Name);
   Bucket &LocalBucket = It->second;
-  const double Share = Organisation.dividedShare() / std::max(1U, m_Instances);
+  const double Share =
+      m_Instances == 0 ? 0 : Organisation.dividedShare() / m_Instances;
   if (Share > 0) {
     const double Burst = std::max(1.0, Organisation.m_Burst * Share);
     // A new instance has no record of what was sent in the last window, so it
@@ -21,7 +23,7 @@
         (Inserted || LocalBucket.m_Rate > Organisation.m_RatePerSecond))
       LocalBucket.m_Tokens =
           Inserted ? Burst / 2 : std::min(LocalBucket.m_Tokens, Burst);
-    if (Inserted)
+    if (!std::exchange(LocalBucket.m_Refills, true))
       LocalBucket.m_RefilledAt = Now;
     const double Seconds =
         std::chrono::duration<double>(Now - LocalBucket.m_RefilledAt).count();
@@ -33,6 +35,8 @@
              Now - LocalBucket.m_RefilledAt > m_Options.m_TokenLifetime) {
     LocalBucket.m_Tokens = 0;
   }
+  if (Share <= 0)
+    LocalBucket.m_Refills = false;
   LocalBucket.m_Rate = Organisation.m_RatePerSecond;
   if (NewProgram && Share <= 0)
     return RateDecision::RequestTokens;
--- a/src/gateway/RateShares.h
+++ b/src/gateway/RateShares.h
@@ -36,7 +36,8 @@
 public:
   explicit RateShares(RateSharesOptions Options = {}) : m_Options(Options) {}
 
-  /// Sets the number of instances among which rates are divided.
+  /// Sets the number of instances among which rates are divided. While it is
+  /// zero, not known, this instance has no share, and all tokens are requested.
   void setInstances(std::uint32_t Count) { m_Instances = Count; }
 
   /// Takes a token of \p Organisation if there is one. A call that begins a
@@ -57,10 +58,11 @@
     base::TimePoint m_RefilledAt;
     /// Rate at the last take(). A change limits or clears m_Tokens.
     double m_Rate = -1;
+    bool m_Refills = false; ///< Had a share of the rate at the last take().
   };
 
   RateSharesOptions m_Options;
-  std::uint32_t m_Instances = 1;
+  std::uint32_t m_Instances = 0;
   std::map<std::string, Bucket> m_Buckets;
 };
 
--- a/tests/correctness/GatewayPartsTest.cpp
+++ b/tests/correctness/GatewayPartsTest.cpp
@@ -99,6 +99,37 @@
   EXPECT_GE(Passed, 50U * 5 - Instances);
 }
 
+/// Guards against an organisation that exceeds its allowance after a start of
+/// all processes: each instance took the divided part of the rate as its own.
+TEST(RateSharesTest, AnInstanceThatDoesNotKnowTheirNumberHasNoShare) {
+  const fleet::OrganisationSpec Organisation = {.m_Name = "g",
+                                                .m_Keys = {},
+                                                .m_Priority = {},
+                                                .m_RatePerSecond = 100,
+                                                .m_Burst = 100};
+  RateShares Shares;
+  base::TimePoint Now{seconds(100)};
+  for (int Millisecond = 0; Millisecond < 1000;
+       ++Millisecond, Now += milliseconds(1))
+    ASSERT_EQ(Shares.take(Organisation, false, Now),
+              RateDecision::RequestTokens);
+  {
+    SCOPED_TRACE("tokens that control grants are used");
+    Shares.grant(Organisation, 2, Now);
+    EXPECT_EQ(Shares.take(Organisation, false, Now), RateDecision::Pass);
+  }
+  {
+    SCOPED_TRACE("a share that becomes known covers no time before that");
+    Shares.setInstances(10);
+    Now += seconds(20);
+    EXPECT_EQ(Shares.take(Organisation, false, Now), RateDecision::Pass);
+    EXPECT_EQ(Shares.take(Organisation, false, Now),
+              RateDecision::RequestTokens);
+    Now += milliseconds(201);
+    EXPECT_EQ(Shares.take(Organisation, false, Now), RateDecision::Pass);
+  }
+}
+
 TEST(RateSharesTest, TokensOfALowRateAreRequested) {
   fleet::OrganisationSpec Organisation = {.m_Name = "g",
                                           .m_Keys = {},
@@ -125,6 +156,7 @@
                                                 .m_RatePerSecond = 100,
                                                 .m_Burst = 100};
   RateShares Shares;
+  Shares.setInstances(1);
   const base::TimePoint Now{seconds(100)};
   while (Shares.take(Organisation, true, Now) == RateDecision::Pass) {
   }
