Reply on the connection that brought a request

Cause: requests between nodes are numbered from 1 in each start of a process, and replies went to the node's name. The successor of a killed process took replies to that one's requests for replies to its own with the same numbers.

Change: a request is answered on the connection that brought it, whose other end is one process; if it has closed, the reply is dropped, counted and logged once in a while. This holds for all pairs of nodes, relayed requests and slots too, and no message grows.

Tests changed: they name the sender of a request as a ReplyAddress; what they check is the same.

Ruled out for these symptoms: expired chains (no 404, bodies that are too short). Related paths: tokens, reports, probes, held requests, votes: none carries a number that another process could take for its own.

--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -89,7 +89,7 @@
   m_Node.start(
       m_Group->identity(),
       {.m_OnMessage =
-           [this](const NodeState &From, LinkMessage &Message) {
+           [this](const link::MessageSource &From, LinkMessage &Message) {
              onMessage(From, Message);
            },
        .m_OnConnected = [this](const NodeState &Peer) { onPeerUp(Peer); },
@@ -113,7 +113,8 @@
   m_Node.run();
 }
 
-void Coordinator::onMessage(const NodeState &From, LinkMessage &Message) {
+void Coordinator::onMessage(const link::MessageSource &From,
+                            LinkMessage &Message) {
   const base::TimePoint Now = base::readMonotonic();
   if (Message.has_group()) {
     m_Group->onMessage(Message.group());
@@ -122,11 +123,11 @@
       if (m_Endpoints.merge(Endpoint, false, Now))
         broadcastEndpoint(*m_Endpoints.find(Endpoint.id()));
   } else if (Message.has_request()) {
-    web::spawn(
-        m_Node.io().get_executor(), "serve_request",
-        serveRequest(From.name(), std::move(*Message.mutable_request())));
+    web::spawn(m_Node.io().get_executor(), "serve_request",
+               serveRequest(From.replyAddress(),
+                            std::move(*Message.mutable_request())));
   } else if (Message.has_reply()) {
-    m_ForwardedRequests.onReply(Message.reply());
+    m_Node.onReply(m_ForwardedRequests, Message.reply());
   } else if (Message.has_crashes()) {
     onCrashReports(Message.crashes());
   } else if (Message.has_leaders()) {
@@ -150,13 +151,13 @@
     m_Node.links().send(Peer.name(), configurationMessage(Peer.kind()));
 }
 
-asio::awaitable<void> Coordinator::serveRequest(std::string From,
+asio::awaitable<void> Coordinator::serveRequest(fleet::ReplyAddress From,
                                                 Request Received) {
   const std::uint64_t Id = Received.id();
   LinkMessage Message;
   *Message.mutable_reply() = co_await execute(std::move(Received), false);
   Message.mutable_reply()->set_id(Id);
-  m_Node.links().send(From, Message);
+  m_Node.reply(From, Message);
 }
 
 asio::awaitable<Coordinator::Reply> Coordinator::execute(Request Received,
--- a/src/coordinator/Coordinator.h
+++ b/src/coordinator/Coordinator.h
@@ -56,9 +56,10 @@
   using Request = messages::fleet::Request;
 
   // Links.
-  void onMessage(const NodeState &From, LinkMessage &Message);
+  void onMessage(const link::MessageSource &From, LinkMessage &Message);
   void onPeerUp(const NodeState &Peer);
-  boost::asio::awaitable<void> serveRequest(std::string From, Request Received);
+  boost::asio::awaitable<void> serveRequest(fleet::ReplyAddress From,
+                                            Request Received);
   boost::asio::awaitable<Reply> execute(Request Received, bool MayForward);
   boost::asio::awaitable<Reply> executeAsLeader(Request Received);
   boost::asio::awaitable<bool> confirmRead();
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -72,7 +72,7 @@
   m_StartedAt = base::readMonotonic();
   const node::NodeSettings &Settings = m_Node.settings();
   m_Node.start(
-      "", {.m_OnMessage = [this](const NodeState &,
+      "", {.m_OnMessage = [this](const link::MessageSource &,
                                  LinkMessage &Message) { onMessage(Message); },
            .m_OnConnected = [](const NodeState &) {},
            .m_OnDisconnected = [](const NodeState &) {},
@@ -106,7 +106,7 @@
 
 void Gateway::onMessage(LinkMessage &Message) {
   if (Message.has_reply())
-    m_PendingRequests.onReply(Message.reply());
+    m_Node.onReply(m_PendingRequests, Message.reply());
   else if (Message.has_configuration())
     onConfiguration(Message.configuration());
   else if (Message.has_leaders())
--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -85,7 +85,7 @@
   m_Node.start(
       m_Groups->identity(),
       {.m_OnMessage =
-           [this](const NodeState &From, LinkMessage &Message) {
+           [this](const link::MessageSource &From, LinkMessage &Message) {
              onMessage(From, Message);
            },
        .m_OnConnected = [this](const NodeState &Peer) { onPeerUp(Peer); },
@@ -111,7 +111,8 @@
   return Leader.empty() ? m_Leaders.leaderOf(Number) : Leader;
 }
 
-void HistoryNode::onMessage(const NodeState &From, LinkMessage &Message) {
+void HistoryNode::onMessage(const link::MessageSource &From,
+                            LinkMessage &Message) {
   if (Message.has_group())
     m_Groups->onMessage(Message.group());
   else if (Message.has_request())
@@ -149,8 +150,9 @@
   }
 }
 
-void HistoryNode::onRequest(const NodeState &Sender, const Request &Received) {
-  const std::string &From = Sender.name();
+void HistoryNode::onRequest(const link::MessageSource &Sender,
+                            const Request &Received) {
+  const ReplyAddress From = Sender.replyAddress();
   if (Received.has_place()) {
     onSlotRequest(From, Received);
     return;
@@ -160,7 +162,7 @@
     const std::string Leader = leaderOf(Number);
     // Entry instances only, so that no request is relayed twice.
     const bool Relays =
-        Sender.kind() == messages::fleet::NODE_ENTRY &&
+        Sender.m_Node.kind() == messages::fleet::NODE_ENTRY &&
         (Received.has_begin() || Received.has_end() || Received.has_stream() ||
          Received.has_find_stream() || Received.has_service_version() ||
          Received.has_find_service_version() ||
@@ -202,12 +204,12 @@
 
 /// Sends a request of the entry instance \p From on to \p Leader, which that
 /// instance may not reach.
-asio::awaitable<void> HistoryNode::relayToLeader(std::string From,
+asio::awaitable<void> HistoryNode::relayToLeader(ReplyAddress From,
                                                  Request Received,
                                                  std::string Leader) {
   const std::uint64_t Id = Received.id();
   m_Node.log().write("request_relayed", {{"request", subjectOf(Received)},
-                                         {"from", From},
+                                         {"from", From.m_Node},
                                          {"number", Received.group()},
                                          {"leader", Leader}});
   Received.set_id(OtherGroupIdBase + m_OutgoingRequests.nextId());
@@ -224,7 +226,7 @@
   reply(From, Id, std::move(*Outgoing));
 }
 
-void HistoryNode::onBegin(const std::string &From, const Request &Received) {
+void HistoryNode::onBegin(const ReplyAddress &From, const Request &Received) {
   const auto &Begin = Received.begin();
   HostedGroup &Group = *m_Hosted.at(Received.group());
   const bool Owned =
@@ -246,7 +248,7 @@
 }
 
 /// Finds the earlier turns of a turn that begins, and a slot for it.
-void HistoryNode::findChainAndSlot(const std::string &From,
+void HistoryNode::findChainAndSlot(const ReplyAddress &From,
                                    const Request &Received) {
   const auto &Begin = Received.begin();
   const HostedGroup &Group = *m_Hosted.at(Received.group());
@@ -258,7 +260,7 @@
     requestSlot(From, Received);
 }
 
-void HistoryNode::onEnd(const std::string &From, const Request &Received) {
+void HistoryNode::onEnd(const ReplyAddress &From, const Request &Received) {
   const auto &End = Received.end();
   if (m_Hosted.at(Received.group())->m_State.coalesce(From, Received))
     return;
@@ -278,7 +280,7 @@
   propose(From, Received, {});
 }
 
-void HistoryNode::propose(const std::string &From, const Request &Received,
+void HistoryNode::propose(const ReplyAddress &From, const Request &Received,
                           const GrantedSlot &Granted) {
   const std::uint32_t Number = Received.group();
   messages::fleet::HistoryCommand Command;
@@ -324,15 +326,15 @@
   return Answer;
 }
 
-void HistoryNode::reply(const std::string &To, std::uint64_t Id,
+void HistoryNode::reply(const ReplyAddress &To, std::uint64_t Id,
                         Reply Outgoing) {
   LinkMessage Message;
   Outgoing.set_id(Id);
   *Message.mutable_reply() = std::move(Outgoing);
-  m_Node.links().send(To, Message);
+  m_Node.reply(To, Message);
 }
 
-void HistoryNode::replyKind(const std::string &To, std::uint64_t Id,
+void HistoryNode::replyKind(const ReplyAddress &To, std::uint64_t Id,
                             messages::fleet::ReplyKind Kind) {
   Reply Outgoing;
   Outgoing.set_kind(Kind);
@@ -348,7 +350,7 @@
     announceLeadership(Group);
   for (AddressedReply &Ready : Group.m_State.takeReplies()) {
     const std::uint64_t Id = Ready.m_Reply.id();
-    reply(Ready.m_Node, Id, std::move(Ready.m_Reply));
+    reply(Ready.m_To, Id, std::move(Ready.m_Reply));
   }
   for (const TurnReport &Report : Group.m_State.takeUnusedSlots())
     reportTurn(Report);
@@ -369,7 +371,7 @@
   for (const auto &[Ticket, Waiting] : Group.m_ReadWaiters)
     Waiting->fire(false);
   for (const auto &Pending : m_SlotRequests.takeGroup(Group.m_Number))
-    replyKind(Pending.m_Node, Pending.m_Request.id(),
+    replyKind(Pending.m_From, Pending.m_Request.id(),
               messages::fleet::REPLY_NOT_LEADER);
   for (auto Entry = m_SlotAllocators.begin();
        Entry != m_SlotAllocators.end();) {
@@ -378,7 +380,7 @@
       continue;
     }
     for (const auto &Turn : Entry->second.takeAll())
-      replyKind(Turn.m_Node, Turn.m_Request.id(),
+      replyKind(Turn.m_From, Turn.m_Request.id(),
                 messages::fleet::REPLY_NOT_LEADER);
     Entry = m_SlotAllocators.erase(Entry);
   }
--- a/src/history/HistoryNode.h
+++ b/src/history/HistoryNode.h
@@ -46,6 +46,7 @@
   using NodeState = fleet::NodeState;
   using Request = messages::fleet::Request;
   using Reply = messages::fleet::Reply;
+  using ReplyAddress = fleet::ReplyAddress;
   using TurnReport = messages::fleet::TurnReport;
 
   /// A group that this node hosts.
@@ -87,38 +88,39 @@
   std::string leaderOf(std::uint32_t Number) const;
 
   // Requests from entry instances and control nodes.
-  void onMessage(const NodeState &From, LinkMessage &Message);
-  void onRequest(const NodeState &Sender, const Request &Received);
-  boost::asio::awaitable<void> relayToLeader(std::string From, Request Received,
-                                             std::string Leader);
-  void onBegin(const std::string &From, const Request &Received);
-  void findChainAndSlot(const std::string &From, const Request &Received);
-  void onEnd(const std::string &From, const Request &Received);
+  void onMessage(const link::MessageSource &From, LinkMessage &Message);
+  void onRequest(const link::MessageSource &Sender, const Request &Received);
+  boost::asio::awaitable<void>
+  relayToLeader(ReplyAddress From, Request Received, std::string Leader);
+  void onBegin(const ReplyAddress &From, const Request &Received);
+  void findChainAndSlot(const ReplyAddress &From, const Request &Received);
+  void onEnd(const ReplyAddress &From, const Request &Received);
   // Streams that may be taken up, in HistoryStreams.cpp.
   struct FoundStream {
     messages::fleet::ReplyKind m_Kind = messages::fleet::REPLY_STREAM_UNKNOWN;
     turns::StreamVersion m_Version;
   };
-  boost::asio::awaitable<void> beginTakeUp(std::string From, Request Received);
+  boost::asio::awaitable<void> beginTakeUp(ReplyAddress From, Request Received);
   boost::asio::awaitable<FoundStream> findStream(std::uint32_t Number,
                                                  std::string Organisation,
                                                  std::string Stream);
-  void onRecordStream(const std::string &From, const Request &Received);
-  boost::asio::awaitable<void> replyToFindStream(std::string From,
+  void onRecordStream(const ReplyAddress &From, const Request &Received);
+  boost::asio::awaitable<void> replyToFindStream(ReplyAddress From,
                                                  Request Received);
-  void onRecordServiceVersion(const std::string &From, const Request &Received);
-  boost::asio::awaitable<void> replyToFindServiceVersion(std::string From,
+  void onRecordServiceVersion(const ReplyAddress &From,
+                              const Request &Received);
+  boost::asio::awaitable<void> replyToFindServiceVersion(ReplyAddress From,
                                                          Request Received);
-  void replyToFindEndpoints(const std::string &From, const Request &Received);
+  void replyToFindEndpoints(const ReplyAddress &From, const Request &Received);
   /// Whether all commands that the group \p Number had committed before are
   /// applied here.
   boost::asio::awaitable<bool> confirmRead(std::uint32_t Number);
-  void propose(const std::string &From, const Request &Received,
+  void propose(const ReplyAddress &From, const Request &Received,
                const GrantedSlot &Granted);
   Reply retirementReply(std::uint32_t Number,
                         const messages::fleet::RetireNode &Received) const;
-  void reply(const std::string &To, std::uint64_t Id, Reply Outgoing);
-  void replyKind(const std::string &To, std::uint64_t Id,
+  void reply(const ReplyAddress &To, std::uint64_t Id, Reply Outgoing);
+  void replyKind(const ReplyAddress &To, std::uint64_t Id,
                  messages::fleet::ReplyKind Kind);
 
   /// Requests that begin something are rejected while this many commands of
@@ -130,26 +132,26 @@
   static constexpr std::uint64_t OtherGroupIdBase = std::uint64_t{1} << 62U;
 
   // Turns of other groups, in HistoryTurnSearch.cpp.
-  boost::asio::awaitable<void> beginFromOtherGroup(std::string From,
+  boost::asio::awaitable<void> beginFromOtherGroup(ReplyAddress From,
                                                    Request Received);
   boost::asio::awaitable<LocatedTurn>
   searchOtherGroups(std::uint32_t Own, messages::fleet::FindTurn Wanted);
   void adopt(const Request &Received, const std::string &Text);
-  boost::asio::awaitable<void> replyToFind(std::string From, Request Received);
+  boost::asio::awaitable<void> replyToFind(ReplyAddress From, Request Received);
   boost::asio::awaitable<Reply> findTurn(std::uint32_t Number,
                                          messages::fleet::FindTurn Wanted);
   boost::asio::awaitable<std::optional<Reply>>
   queryGroup(std::uint32_t Number, messages::fleet::FindTurn Wanted);
 
   // Engine slots, in HistorySlots.cpp.
-  void requestSlot(const std::string &From, const Request &Received);
-  void refuseProgram(const std::string &From, const Request &Received,
+  void requestSlot(const ReplyAddress &From, const Request &Received);
+  void refuseProgram(const ReplyAddress &From, const Request &Received,
                      std::string_view Reason, std::uint32_t RetryMs);
   /// Whether something has come lately from the node that allocates the slots
   /// of \p Service.
   bool isAllocatorHeard(const std::string &Service) const;
   void sendSlotRequest(std::uint64_t Id);
-  void onSlotRequest(const std::string &From, const Request &Received);
+  void onSlotRequest(const ReplyAddress &From, const Request &Received);
   void onReply(const Reply &Received);
   void beginWithoutSlot(const SlotRequestTable::PendingRequest &Pending);
   void reportTurn(const TurnReport &Report);
--- a/src/history/HistorySlots.cpp
+++ b/src/history/HistorySlots.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 /// Requests a slot for a turn of a group that this node leads.
-void HistoryNode::requestSlot(const std::string &From,
+void HistoryNode::requestSlot(const ReplyAddress &From,
                               const Request &Received) {
   const auto &Begin = Received.begin();
   const bool NewProgram =
@@ -44,7 +44,7 @@
     refuseProgram(From, Received, AllocatorLate, OverloadRetryMs);
     return;
   }
-  const std::uint64_t Id = m_SlotRequests.add({.m_Node = From,
+  const std::uint64_t Id = m_SlotRequests.add({.m_From = From,
                                                .m_Request = Received,
                                                .m_NewProgram = NewProgram,
                                                .m_ArrivedAt = Now,
@@ -58,7 +58,7 @@
   scheduleTick();
 }
 
-void HistoryNode::refuseProgram(const std::string &From,
+void HistoryNode::refuseProgram(const ReplyAddress &From,
                                 const Request &Received,
                                 std::string_view Reason,
                                 std::uint32_t RetryMs) {
@@ -93,7 +93,7 @@
   const std::uint32_t Number =
       dispatchingGroup(Pending->m_Request.begin().service(), m_GroupCount);
   if (isLeaderOf(Number)) {
-    onSlotRequest(m_Node.settings().m_Name, Outgoing);
+    onSlotRequest({.m_Node = m_Node.settings().m_Name}, Outgoing);
     return;
   }
   LinkMessage Message;
@@ -102,7 +102,7 @@
 }
 
 /// Handles a slot request from the leader of a group.
-void HistoryNode::onSlotRequest(const std::string &From,
+void HistoryNode::onSlotRequest(const ReplyAddress &From,
                                 const Request &Received) {
   const auto &Begin = Received.place().begin();
   if (m_GroupCount == 0 ||
@@ -111,7 +111,7 @@
     return;
   }
   turns::TurnAdmission::PendingTurn Turn = {
-      .m_Node = From,
+      .m_From = From,
       .m_Request = {},
       .m_NewProgram = Received.place().new_program(),
       .m_ArrivedAt = base::readMonotonic()};
@@ -156,10 +156,10 @@
            {"share_percent",
             static_cast<std::uint64_t>(100 * Allocator.newProgramShare())}});
     }
-    if (Response.m_Turn.m_Node == m_Node.settings().m_Name)
+    if (Response.m_Turn.m_From.m_Connection == 0)
       onReply(Response.m_Reply);
     else
-      reply(Response.m_Turn.m_Node, Response.m_Turn.m_Request.id(),
+      reply(Response.m_Turn.m_From, Response.m_Turn.m_Request.id(),
             Response.m_Reply);
   }
 }
@@ -167,7 +167,7 @@
 void HistoryNode::onReply(const Reply &Received) {
   // Requests to other groups and slot requests have separate identifiers.
   if (Received.id() >= OtherGroupIdBase) {
-    m_OutgoingRequests.onReply(Received);
+    m_Node.onReply(m_OutgoingRequests, Received);
     return;
   }
   // A request to the wrong node is sent again by the next tick.
@@ -179,13 +179,13 @@
     return;
   if (Received.kind() == messages::fleet::REPLY_BUSY ||
       Received.kind() == messages::fleet::REPLY_NO_ENGINE) {
-    reply(Pending->m_Node, Pending->m_Request.id(), Received);
+    reply(Pending->m_From, Pending->m_Request.id(), Received);
     return;
   }
   Request Placed = Pending->m_Request;
   Placed.mutable_begin()->set_software(Received.software());
   propose(
-      Pending->m_Node, Placed,
+      Pending->m_From, Placed,
       {.m_Endpoint = Received.endpoint(), .m_Born = Received.engine_born()});
 }
 
@@ -200,7 +200,7 @@
        {"service", Begin.service()},
        {"asked", leaderOf(dispatchingGroup(Begin.service(), m_GroupCount))},
        {"new_program", Pending.m_NewProgram ? "yes" : "no"}});
-  propose(Pending.m_Node, Pending.m_Request, {});
+  propose(Pending.m_From, Pending.m_Request, {});
 }
 
 void HistoryNode::reportTurn(const TurnReport &Report) {
@@ -254,7 +254,7 @@
       beginWithoutSlot(Pending);
       continue;
     }
-    refuseProgram(Pending.m_Node, Pending.m_Request, AllocatorLate,
+    refuseProgram(Pending.m_From, Pending.m_Request, AllocatorLate,
                   OverloadRetryMs);
     TurnReport Unused; // Frees the slot that the allocator may yet grant.
     Unused.set_turn(Begin.turn());
--- a/src/history/HistoryStateMachine.cpp
+++ b/src/history/HistoryStateMachine.cpp
@@ -66,7 +66,7 @@
   else if (Parsed.has_end())
     Answer = makeEndReply(Parsed.end(), Pending);
   Answer.set_id(Pending.m_RequestId);
-  m_Replies.push_back({.m_Node = Pending.m_Node, .m_Reply = std::move(Answer)});
+  m_Replies.push_back({.m_To = Pending.m_From, .m_Reply = std::move(Answer)});
 }
 
 Reply HistoryStateMachine::makeBeginReply(
@@ -143,13 +143,13 @@
   return Text;
 }
 
-bool HistoryStateMachine::coalesce(const std::string &Node,
+bool HistoryStateMachine::coalesce(const fleet::ReplyAddress &From,
                                    const Request &Repeated) {
   const auto [Kind, Turn] = subjectOf(Repeated);
   for (auto &[Index, Pending] : m_PendingCommands) {
     if (Pending.m_Kind != Kind || Pending.m_Turn != Turn)
       continue;
-    Pending.m_Node = Node;
+    Pending.m_From = From;
     Pending.m_RequestId = Repeated.id();
     Pending.m_KeepsTurn = Repeated.end().keep();
     return true;
@@ -158,11 +158,11 @@
 }
 
 void HistoryStateMachine::awaitCommit(std::uint64_t Index,
-                                      const std::string &Node,
+                                      const fleet::ReplyAddress &From,
                                       const Request &Proposed,
                                       const GrantedSlot &Granted) {
   auto [Kind, Turn] = subjectOf(Proposed);
-  m_PendingCommands[Index] = {.m_Node = Node,
+  m_PendingCommands[Index] = {.m_From = From,
                               .m_RequestId = Proposed.id(),
                               .m_Turn = std::move(Turn),
                               .m_Service = Proposed.begin().service(),
@@ -178,8 +178,7 @@
     Answer.set_id(Pending.m_RequestId);
     Answer.set_kind(messages::fleet::REPLY_NOT_LEADER);
     Answer.set_leader(Leader);
-    m_Replies.push_back(
-        {.m_Node = Pending.m_Node, .m_Reply = std::move(Answer)});
+    m_Replies.push_back({.m_To = Pending.m_From, .m_Reply = std::move(Answer)});
   }
   m_PendingCommands.clear();
 }
--- a/src/history/HistoryStateMachine.h
+++ b/src/history/HistoryStateMachine.h
@@ -6,6 +6,7 @@
 #define PSP_HISTORY_HISTORYSTATEMACHINE_H
 
 #include "consensus/StateMachine.h"
+#include "fleet/ReplyAddress.h"
 #include "turns/TurnLedger.h"
 
 #include <cstdint>
@@ -17,9 +18,9 @@
 
 namespace psp::history {
 
-/// A reply and the node that it is sent to.
+/// A reply and where it is sent.
 struct AddressedReply {
-  std::string m_Node;
+  fleet::ReplyAddress m_To;
   messages::fleet::Reply m_Reply;
 };
 
@@ -60,15 +61,15 @@
   }
 
   /// If the command of \p Repeated is pending already, directs its reply to
-  /// \p Node and returns true. Load pattern: the leader is slow, and requesters
+  /// \p From and returns true. Load pattern: the leader is slow, and requesters
   /// repeat their requests.
-  bool coalesce(const std::string &Node, const Request &Repeated);
+  bool coalesce(const fleet::ReplyAddress &From, const Request &Repeated);
   /// Number of commands that wait for their commit.
   std::size_t pendingCommands() const { return m_PendingCommands.size(); }
 
   /// Registers \p Proposed, which is proposed at \p Index. A BeginTurn command
   /// may have a slot.
-  void awaitCommit(std::uint64_t Index, const std::string &Node,
+  void awaitCommit(std::uint64_t Index, const fleet::ReplyAddress &From,
                    const Request &Proposed, const GrantedSlot &Granted = {});
   /// Replies to all pending requests that this node is no longer the leader, so
   /// that their senders contact \p Leader.
@@ -90,7 +91,7 @@
   enum class CommandKind { Begin, End, Stream, ServiceVersion };
 
   struct PendingCommand {
-    std::string m_Node;
+    fleet::ReplyAddress m_From;
     std::uint64_t m_RequestId = 0;
     std::string m_Turn; ///< Or the stream or version that is recorded.
     std::string m_Service;
--- a/src/history/HistoryStreams.cpp
+++ b/src/history/HistoryStreams.cpp
@@ -20,7 +20,7 @@
 
 /// Begins a turn that takes up a stream, on an engine of the version that began
 /// it.
-asio::awaitable<void> HistoryNode::beginTakeUp(std::string From,
+asio::awaitable<void> HistoryNode::beginTakeUp(ReplyAddress From,
                                                Request Received) {
   auto &Begin = *Received.mutable_begin();
   const FoundStream Found = co_await findStream(
@@ -72,7 +72,7 @@
 
 /// Records a stream that no turn of this group begins, or whose turn has begun
 /// without a slot.
-void HistoryNode::onRecordStream(const std::string &From,
+void HistoryNode::onRecordStream(const ReplyAddress &From,
                                  const Request &Received) {
   HistoryStateMachine &State = m_Hosted.at(Received.group())->m_State;
   if (State.pendingCommands() >= MaxPendingCommands) {
@@ -102,7 +102,7 @@
 
 /// All entry instances send the same versions, so few of these requests change
 /// the log.
-void HistoryNode::onRecordServiceVersion(const std::string &From,
+void HistoryNode::onRecordServiceVersion(const ReplyAddress &From,
                                          const Request &Received) {
   HistoryStateMachine &State = m_Hosted.at(Received.group())->m_State;
   const auto &Recorded = Received.service_version();
@@ -129,7 +129,7 @@
 
 /// A service that has had several versions has none that is known to be that of
 /// a stream.
-asio::awaitable<void> HistoryNode::replyToFindServiceVersion(std::string From,
+asio::awaitable<void> HistoryNode::replyToFindServiceVersion(ReplyAddress From,
                                                              Request Received) {
   const std::uint32_t Number = Received.group();
   const std::string &Service = Received.find_service_version().service();
@@ -157,7 +157,7 @@
 
 /// An instance that is cut off from control learns of the endpoints to which
 /// its turns are assigned. Endpoints that are silent may have ended long ago.
-void HistoryNode::replyToFindEndpoints(const std::string &From,
+void HistoryNode::replyToFindEndpoints(const ReplyAddress &From,
                                        const Request &Received) {
   Reply Known;
   fleet::listEndpoints(Received.find_endpoints(), m_Endpoints, Known);
@@ -169,7 +169,7 @@
   reply(From, Received.id(), std::move(Outgoing));
 }
 
-asio::awaitable<void> HistoryNode::replyToFindStream(std::string From,
+asio::awaitable<void> HistoryNode::replyToFindStream(ReplyAddress From,
                                                      Request Received) {
   const FoundStream Found = co_await findStream(
       Received.group(), Received.find_stream().organisation(),
--- a/src/history/HistoryTurnSearch.cpp
+++ b/src/history/HistoryTurnSearch.cpp
@@ -19,7 +19,7 @@
 /// Begins a turn that continues from a turn of another program, which may
 /// belong to any group. The chain of that turn is copied into this group, which
 /// then has everything that later turns of the program need.
-asio::awaitable<void> HistoryNode::beginFromOtherGroup(std::string From,
+asio::awaitable<void> HistoryNode::beginFromOtherGroup(ReplyAddress From,
                                                        Request Received) {
   const std::string Turn = Received.begin().turn();
   const auto [Search, IsNew] = m_PendingSearches.try_emplace(Turn, Received);
@@ -118,7 +118,7 @@
   co_return co_await m_OutgoingRequests.wait(Id, FindTimeout);
 }
 
-asio::awaitable<void> HistoryNode::replyToFind(std::string From,
+asio::awaitable<void> HistoryNode::replyToFind(ReplyAddress From,
                                                Request Received) {
   Reply Outgoing = co_await findTurn(Received.group(), Received.find());
   reply(From, Received.id(), std::move(Outgoing));
--- a/src/history/SlotRequestTable.cpp
+++ b/src/history/SlotRequestTable.cpp
@@ -5,13 +5,13 @@
 
 namespace psp::history {
 
-bool SlotRequestTable::coalesce(const std::string &Node,
+bool SlotRequestTable::coalesce(const fleet::ReplyAddress &From,
                                 const Request &Repeated) {
   const auto It = m_IdsByTurn.find(Repeated.begin().turn());
   if (It == m_IdsByTurn.end())
     return false;
   PendingRequest &Pending = m_Requests.at(It->second);
-  Pending.m_Node = Node;
+  Pending.m_From = From;
   Pending.m_Request.set_id(Repeated.id());
   return true;
 }
--- a/src/history/SlotRequestTable.h
+++ b/src/history/SlotRequestTable.h
@@ -5,6 +5,7 @@
 #define PSP_HISTORY_SLOTREQUESTTABLE_H
 
 #include "base/Time.h"
+#include "fleet/ReplyAddress.h"
 #include "generated/fleet.pb.h"
 #include "link/ReplyTimeEstimate.h"
 
@@ -43,8 +44,8 @@
   using Request = messages::fleet::Request;
 
   struct PendingRequest {
-    std::string m_Node; ///< Node that requested the turn.
-    Request m_Request;  ///< Holds the BeginTurn command.
+    fleet::ReplyAddress m_From; ///< Process that requested the turn.
+    Request m_Request;          ///< Holds the BeginTurn command.
     bool m_NewProgram = false;
     base::TimePoint m_ArrivedAt;
     base::TimePoint m_SentAt;
@@ -54,8 +55,8 @@
       : m_Options(Options) {}
 
   /// If the turn of \p Repeated is pending already, directs its reply to the
-  /// node \p Node and returns true.
-  bool coalesce(const std::string &Node, const Request &Repeated);
+  /// process \p From and returns true.
+  bool coalesce(const fleet::ReplyAddress &From, const Request &Repeated);
   /// Adds a request and returns the identifier of its slot request.
   std::uint64_t add(PendingRequest Added);
   /// Null if no request is pending under \p Id.
--- a/src/link/Link.cpp
+++ b/src/link/Link.cpp
@@ -27,10 +27,11 @@
 
 } // namespace
 
-Link::Link(asio::ip::tcp::socket Socket, LinkOptions Options, Handlers Handle)
+Link::Link(asio::ip::tcp::socket Socket, LinkOptions Options, Handlers Handle,
+           std::uint64_t Number)
     : m_Socket(std::move(Socket)), m_Options(Options),
       m_Handle(std::move(Handle)), m_LastReceivedAt(base::readMonotonic()),
-      m_LastSentAt(m_LastReceivedAt) {}
+      m_LastSentAt(m_LastReceivedAt), m_Number(Number) {}
 
 void Link::start() {
   boost::system::error_code Ignored; // The option isn't essential.
--- a/src/link/Link.h
+++ b/src/link/Link.h
@@ -45,7 +45,7 @@
   };
 
   Link(boost::asio::ip::tcp::socket Socket, LinkOptions Options,
-       Handlers Handle);
+       Handlers Handle, std::uint64_t Number = 0);
 
   void start();
   /// Sends a ping if one is due. With \p EnforceTimeout, closes the connection
@@ -59,6 +59,8 @@
 
   /// Name of the node at the other end, empty until its hello has arrived.
   const std::string &peer() const { return m_Peer; }
+  /// Identifies the connection in this process; never used again.
+  std::uint64_t number() const { return m_Number; }
   void setPeer(const std::string &Name) { m_Peer = Name; }
 
 private:
@@ -78,6 +80,7 @@
   base::TimePoint m_LastReceivedAt;
   base::TimePoint m_LastSentAt;
   std::string m_Peer;
+  std::uint64_t m_Number;
 };
 
 } // namespace psp::link
--- a/src/link/LinkManager.cpp
+++ b/src/link/LinkManager.cpp
@@ -66,6 +66,19 @@
   return true;
 }
 
+bool LinkManager::reply(const fleet::ReplyAddress &To,
+                        const LinkMessage &Message) {
+  const auto It = m_Nodes.find(To.m_Node);
+  if (It == m_Nodes.end())
+    return false;
+  for (const std::shared_ptr<Link> &Connection : It->second.m_Links)
+    if (Connection->number() == To.m_Connection) {
+      Connection->send(Message);
+      return true;
+    }
+  return false;
+}
+
 std::size_t LinkManager::unsentBytes(const std::string &Node) const {
   const auto It = m_Nodes.find(Node);
   return It == m_Nodes.end() ? 0 : It->second.m_Links.back()->unsentBytes();
@@ -133,7 +146,8 @@
               [this](const std::shared_ptr<Link> &Connection,
                      const std::string &Reason) {
                 onClosed(Connection, Reason);
-              }});
+              }},
+      ++m_LastLinkNumber);
   m_OpenLinks.insert(Opened);
   Opened->start();
   sendHello(Opened);
@@ -173,7 +187,9 @@
   }
   const auto It = m_Nodes.find(Connection->peer());
   if (It != m_Nodes.end())
-    m_Handle.m_OnMessage(It->second.m_State, Message);
+    m_Handle.m_OnMessage(
+        {.m_Node = It->second.m_State, .m_Connection = Connection->number()},
+        Message);
 }
 
 void LinkManager::onHello(const std::shared_ptr<Link> &Connection,
--- a/src/link/LinkManager.h
+++ b/src/link/LinkManager.h
@@ -4,6 +4,7 @@
 #ifndef PSP_LINK_LINKMANAGER_H
 #define PSP_LINK_LINKMANAGER_H
 
+#include "fleet/ReplyAddress.h"
 #include "link/Link.h"
 
 #include <boost/asio/io_context.hpp>
@@ -40,10 +41,20 @@
   base::Duration m_ConnectTimeout = base::milliseconds(300);
 };
 
+/// The node that sent a message, and the connection that brought it.
+struct MessageSource {
+  const NodeState &m_Node;
+  std::uint64_t m_Connection = 0;
+
+  fleet::ReplyAddress replyAddress() const {
+    return {.m_Node = m_Node.name(), .m_Connection = m_Connection};
+  }
+};
+
 class LinkManager {
 public:
   struct Handlers {
-    std::function<void(const NodeState &From, LinkMessage &)> m_OnMessage;
+    std::function<void(const MessageSource &From, LinkMessage &)> m_OnMessage;
     /// Called with each hello of a node: when it has connected, and when it
     /// announces a changed state.
     std::function<void(const NodeState &)> m_OnConnected;
@@ -65,6 +76,9 @@
 
   /// Returns false if there is no connection to \p Node.
   bool send(const std::string &Node, const LinkMessage &Message);
+  /// Sends a reply on the connection that brought its request. Returns false if
+  /// that has closed: the process that asked may have ended.
+  bool reply(const fleet::ReplyAddress &To, const LinkMessage &Message);
   bool isConnected(const std::string &Node) const {
     return m_Nodes.contains(Node);
   }
@@ -105,6 +119,7 @@
   base::TimePoint m_NextCheckAt;
   bool m_SkippedTimeouts = false; ///< At the last check.
   std::set<std::shared_ptr<Link>> m_OpenLinks;
+  std::uint64_t m_LastLinkNumber = 0;
   std::map<PeerAddress, DialTarget> m_DialTargets;
   std::map<std::string, ConnectedNode> m_Nodes;
 };
--- a/src/link/RequestTable.cpp
+++ b/src/link/RequestTable.cpp
@@ -36,12 +36,13 @@
   co_return std::move(Pending.m_Reply);
 }
 
-void RequestTable::onReply(const Reply &Received) {
+bool RequestTable::onReply(const Reply &Received) {
   const auto It = m_Pending.find(Received.id());
   if (It == m_Pending.end())
-    return;
+    return false;
   It->second->m_Reply = Received;
   It->second->m_Waiter->fire();
+  return true;
 }
 
 } // namespace psp::link
--- a/src/link/RequestTable.h
+++ b/src/link/RequestTable.h
@@ -44,7 +44,8 @@
   /// within \p Timeout.
   boost::asio::awaitable<std::optional<Reply>> wait(std::uint64_t Id,
                                                     base::Duration Timeout);
-  void onReply(const Reply &Received);
+  /// Returns false if no request waits for \p Received.
+  bool onReply(const Reply &Received);
 
 private:
   struct PendingRequest {
--- a/src/metrics/Names.h
+++ b/src/metrics/Names.h
@@ -57,6 +57,10 @@
                                   "Turns that later turns may continue from"};
 inline const MetricName Announcements{"psp_announcements_total",
                                       "Announcements of endpoints taken"};
+/// Labels: reason.
+inline const MetricName RepliesDropped{
+    "psp_replies_dropped_total",
+    "Replies of other nodes or to them that no request waited for"};
 /// Labels: outcome.
 inline const MetricName StreamsTakenUp{
     "psp_streams_taken_up_total",
--- a/src/node/NodeRuntime.cpp
+++ b/src/node/NodeRuntime.cpp
@@ -1,6 +1,7 @@
 #include "node/NodeRuntime.h"
 
 #include "base/Error.h"
+#include "metrics/Names.h"
 #include "web/Spawn.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -30,6 +31,7 @@
 /// Nodes that no control node has listed for this long are removed from the
 /// directory.
 constexpr base::Duration NodeExpiryTime = base::seconds(25);
+constexpr base::Duration DroppedReplyLogInterval = base::seconds(5);
 
 } // namespace
 
@@ -41,9 +43,8 @@
             {.m_Program = m_Options.m_Program, .m_Node = m_Settings.m_Name}),
       m_Links(m_Io, {},
               {.m_OnMessage =
-                   [this](const NodeState &From, LinkMessage &Message) {
-                     onMessage(From, Message);
-                   },
+                   [this](const link::MessageSource &From,
+                          LinkMessage &Message) { onMessage(From, Message); },
                .m_OnConnected =
                    [this](const NodeState &Peer) { onConnected(Peer); },
                .m_OnDisconnected =
@@ -148,7 +149,37 @@
   }
 }
 
-void NodeRuntime::onMessage(const NodeState &From, LinkMessage &Message) {
+void NodeRuntime::reply(const fleet::ReplyAddress &To,
+                        const LinkMessage &Message) {
+  if (!m_Links.reply(To, Message))
+    countDroppedReply("requester_gone", Message.reply().id(), To.m_Node);
+}
+
+void NodeRuntime::onReply(link::RequestTable &Requests,
+                          const messages::fleet::Reply &Received) {
+  if (!Requests.onReply(Received))
+    countDroppedReply("not_awaited", Received.id(), m_Self.name());
+}
+
+/// Late replies are frequent under overload, so only some of them are logged.
+void NodeRuntime::countDroppedReply(std::string_view Reason,
+                                    std::uint64_t Request,
+                                    const std::string &To) {
+  m_Metrics
+      .counter(metrics::names::RepliesDropped,
+               {{"reason", std::string(Reason)}})
+      .add();
+  const base::TimePoint Now = base::readMonotonic();
+  if (m_DroppedReplyLoggedAt &&
+      Now - *m_DroppedReplyLoggedAt < DroppedReplyLogInterval)
+    return;
+  m_DroppedReplyLoggedAt = Now;
+  m_Log.write("reply_dropped",
+              {{"reason", Reason}, {"number", Request}, {"to", To}});
+}
+
+void NodeRuntime::onMessage(const link::MessageSource &From,
+                            LinkMessage &Message) {
   if (Message.has_directory())
     mergeDirectory(Message.directory());
   else
--- a/src/node/NodeRuntime.h
+++ b/src/node/NodeRuntime.h
@@ -7,6 +7,7 @@
 
 #include "fleet/NodeDirectory.h"
 #include "link/LinkManager.h"
+#include "link/RequestTable.h"
 #include "logging/EventLog.h"
 #include "metrics/Registry.h"
 #include "node/NodeSettings.h"
@@ -42,7 +43,8 @@
   using LinkMessage = link::LinkMessage;
 
   struct Handlers {
-    std::function<void(const NodeState &From, LinkMessage &)> m_OnMessage;
+    std::function<void(const link::MessageSource &From, LinkMessage &)>
+        m_OnMessage;
     std::function<void(const NodeState &)> m_OnConnected;
     std::function<void(const NodeState &)> m_OnDisconnected;
     std::function<void()> m_OnStop; ///< A signal has requested a stop.
@@ -81,9 +83,15 @@
   /// Sends \p Message to all connected nodes, or to those of \p Kind if given.
   void broadcast(const LinkMessage &Message,
                  std::optional<messages::fleet::NodeKind> Kind = {});
+  /// Sends a reply to the process that asked; drops it if that has gone.
+  void reply(const fleet::ReplyAddress &To, const LinkMessage &Message);
+  /// Hands \p Received to the request in \p Requests that it replies to; drops
+  /// it if none waits.
+  void onReply(link::RequestTable &Requests,
+               const messages::fleet::Reply &Received);
 
 private:
-  void onMessage(const NodeState &From, LinkMessage &Message);
+  void onMessage(const link::MessageSource &From, LinkMessage &Message);
   void onConnected(const NodeState &Peer);
   void onDisconnected(const NodeState &Peer, const std::string &Reason);
   void mergeDirectory(const messages::fleet::Directory &Update);
@@ -93,6 +101,8 @@
   void reload(std::string_view Cause);
   void watchSignals();
   NodeState describeSelf() const;
+  void countDroppedReply(std::string_view Reason, std::uint64_t Request,
+                         const std::string &To);
 
   NodeRuntimeOptions m_Options;
   const SettingsSource &m_Source;
@@ -105,6 +115,7 @@
   fleet::NodeDirectory m_Nodes;
   NodeState m_Self;
   Handlers m_Handle;
+  std::optional<base::TimePoint> m_DroppedReplyLoggedAt;
   boost::asio::signal_set m_Signals;
   boost::asio::steady_timer m_SettingsTimer;
   boost::asio::steady_timer m_DirectoryTimer;
--- a/src/turns/TurnAdmission.cpp
+++ b/src/turns/TurnAdmission.cpp
@@ -44,7 +44,7 @@
   for (PendingTurn &Waiting : m_Waiting) {
     if (Waiting.m_Request.begin().turn() != Repeated.m_Request.begin().turn())
       continue;
-    Waiting.m_Node = Repeated.m_Node;
+    Waiting.m_From = Repeated.m_From;
     Waiting.m_Request.set_id(Repeated.m_Request.id());
     return true;
   }
--- a/src/turns/TurnAdmission.h
+++ b/src/turns/TurnAdmission.h
@@ -5,6 +5,7 @@
 #define PSP_TURNS_TURNADMISSION_H
 
 #include "base/Time.h"
+#include "fleet/ReplyAddress.h"
 #include "generated/fleet.pb.h"
 
 #include <cstdint>
@@ -83,7 +84,7 @@
   enum class Decision { Begin, Wait };
 
   struct PendingTurn {
-    std::string m_Node;
+    fleet::ReplyAddress m_From;
     messages::fleet::Request m_Request;
     bool m_NewProgram = false;
     base::TimePoint m_ArrivedAt;
--- a/tests/correctness/HistoryPartsTest.cpp
+++ b/tests/correctness/HistoryPartsTest.cpp
@@ -67,7 +67,7 @@
     BeginRequest.set_id(7);
     BeginRequest.set_group(Group);
     BeginRequest.mutable_begin()->set_turn(Turn);
-    return m_SlotRequests.add({.m_Node = "entry-1",
+    return m_SlotRequests.add({.m_From = {.m_Node = "entry-1"},
                                .m_Request = BeginRequest,
                                .m_NewProgram = false,
                                .m_ArrivedAt = m_Now,
@@ -85,13 +85,13 @@
   SlotRequestTable::Request Repeated;
   Repeated.set_id(9);
   Repeated.mutable_begin()->set_turn("t");
-  EXPECT_TRUE(m_SlotRequests.coalesce("entry-2", Repeated));
+  EXPECT_TRUE(m_SlotRequests.coalesce({.m_Node = "entry-2"}, Repeated));
   const auto Taken = m_SlotRequests.take(Id);
   ASSERT_TRUE(Taken);
-  EXPECT_EQ(Taken->m_Node, "entry-2");
+  EXPECT_EQ(Taken->m_From.m_Node, "entry-2");
   EXPECT_EQ(Taken->m_Request.id(), 9U);
   EXPECT_FALSE(m_SlotRequests.take(Id));
-  EXPECT_FALSE(m_SlotRequests.coalesce("entry-1", Repeated));
+  EXPECT_FALSE(m_SlotRequests.coalesce({.m_Node = "entry-1"}, Repeated));
 }
 
 /// Load pattern: the slot allocator fails.
@@ -144,7 +144,7 @@
 
   /// Registers and applies \p Received, as a leader does.
   void propose(const HistoryStateMachine::Request &Received) {
-    m_State.awaitCommit(++m_LastIndex, "entry-1", Received);
+    m_State.awaitCommit(++m_LastIndex, {.m_Node = "entry-1"}, Received);
     apply(Received);
   }
 
@@ -192,8 +192,9 @@
 }
 
 TEST_F(EndRepliesTest, ACoalescedEndIsNotConfirmedAsRetainedEither) {
-  m_State.awaitCommit(++m_LastIndex, "entry-1", endRequest(1, false));
-  EXPECT_TRUE(m_State.coalesce("entry-2", endRequest(2, true)));
+  m_State.awaitCommit(++m_LastIndex, {.m_Node = "entry-1"},
+                      endRequest(1, false));
+  EXPECT_TRUE(m_State.coalesce({.m_Node = "entry-2"}, endRequest(2, true)));
   apply(endRequest(1, false));
   EXPECT_EQ(replyTo(2), messages::fleet::REPLY_REFUSED);
 }
--- a/tests/correctness/LaterVersionTest.cpp
+++ b/tests/correctness/LaterVersionTest.cpp
@@ -65,7 +65,7 @@
 TEST_F(LaterVersionTest, AGrantNamesTheStartOfItsEngine) {
   announce(SecondStart, "v2");
   SlotAllocator Allocator("models", {}, m_Endpoints);
-  SlotAllocator::PendingTurn Requested{.m_Node = "history-1",
+  SlotAllocator::PendingTurn Requested{.m_From = {.m_Node = "history-1"},
                                        .m_Request = {},
                                        .m_NewProgram = true,
                                        .m_ArrivedAt = m_Now};
--- a/tests/correctness/SlotAllocatorTest.cpp
+++ b/tests/correctness/SlotAllocatorTest.cpp
@@ -31,7 +31,7 @@
   std::vector<SlotResponse> requestSlot(const std::string &Turn,
                                         bool NewProgram,
                                         const std::string &Node = "history-1") {
-    SlotAllocator::PendingTurn Requested{.m_Node = Node,
+    SlotAllocator::PendingTurn Requested{.m_From = {.m_Node = Node},
                                          .m_Request = {},
                                          .m_NewProgram = NewProgram,
                                          .m_ArrivedAt = m_Now};
@@ -91,7 +91,7 @@
     ASSERT_EQ(Responses.size(), 1U);
     EXPECT_EQ(Responses[0].m_Reply.kind(), REPLY_BUSY);
     EXPECT_GE(Responses[0].m_Reply.wait_ms(), 300U);
-    EXPECT_EQ(Responses[0].m_Turn.m_Node, "history-2");
+    EXPECT_EQ(Responses[0].m_Turn.m_From.m_Node, "history-2");
   }
 }
 
@@ -113,7 +113,7 @@
     end("t");
     const auto Responses = m_Allocator.takeResponses(m_Now);
     ASSERT_EQ(Responses.size(), 1U);
-    EXPECT_EQ(Responses[0].m_Turn.m_Node, "history-3");
+    EXPECT_EQ(Responses[0].m_Turn.m_From.m_Node, "history-3");
   }
 }
 
--- a/tests/correctness/SlowLeaderTest.cpp
+++ b/tests/correctness/SlowLeaderTest.cpp
@@ -19,7 +19,7 @@
     SlotRequestTable::Request Begin;
     Begin.mutable_begin()->set_turn(Turn);
     Begin.mutable_begin()->set_service(Service);
-    return m_SlotRequests.add({.m_Node = "entry-1",
+    return m_SlotRequests.add({.m_From = {.m_Node = "entry-1"},
                                .m_Request = Begin,
                                .m_NewProgram = NewProgram,
                                .m_ArrivedAt = m_Now,
--- a/tests/correctness/StreamVersionPlacementTest.cpp
+++ b/tests/correctness/StreamVersionPlacementTest.cpp
@@ -39,7 +39,7 @@
 
   messages::fleet::Reply request(const std::string &Turn,
                                  const std::string &Software) {
-    SlotAllocator::PendingTurn Requested{.m_Node = "history-1",
+    SlotAllocator::PendingTurn Requested{.m_From = {.m_Node = "history-1"},
                                          .m_Request = {},
                                          .m_NewProgram = false,
                                          .m_ArrivedAt = m_Now};
--- a/tests/correctness/StreamVersionsTest.cpp
+++ b/tests/correctness/StreamVersionsTest.cpp
@@ -159,7 +159,7 @@
     else
       *Command.mutable_begin() = Received.begin();
     Received.set_id(++Index);
-    State.awaitCommit(Index, "entry-1", Received);
+    State.awaitCommit(Index, {.m_Node = "entry-1"}, Received);
     State.apply(Index, Command.SerializeAsString(), WallMs);
     auto Replies = State.takeReplies();
     EXPECT_EQ(Replies.size(), 1U);
--- a/tests/correctness/TurnAdmissionTest.cpp
+++ b/tests/correctness/TurnAdmissionTest.cpp
@@ -17,7 +17,7 @@
 TurnAdmission::PendingTurn makeTurn(const std::string &Turn, bool NewProgram,
                                     std::uint32_t LeftMs,
                                     base::TimePoint At = base::TimePoint()) {
-  TurnAdmission::PendingTurn Pending{.m_Node = "entry",
+  TurnAdmission::PendingTurn Pending{.m_From = {.m_Node = "entry"},
                                      .m_Request = {},
                                      .m_NewProgram = NewProgram,
                                      .m_ArrivedAt = At};
