--- a/src/turns/TurnLedger.cpp
+++ b/src/turns/TurnLedger.cpp
@@ -117,10 +117,10 @@
 
 BeginOutcome TurnLedger::reserve(const BeginTurn &Command,
                                  std::uint64_t WallMs) {
-  ProgramState &State = findOrAddProgram(
-      Command.organisation(), Command.program(),
-      WallMs + Command.time_left_ms() + Command.retention_ms() +
-          m_Options.m_ProgramGraceMs);
+  ProgramState &State =
+      findOrAddProgram(Command.organisation(), Command.program(),
+                       WallMs + Command.time_left_ms() +
+                           Command.retention_ms() + m_Options.m_ProgramGraceMs);
   if (State.m_Reserved.contains(Command.turn()))
     return BeginOutcome::Granted;
   if (State.m_Ended.contains(Command.turn()))
--- a/src/turns/TurnLedger.h
+++ b/src/turns/TurnLedger.h
@@ -48,7 +48,8 @@
 /// whatever fails in between. A turn whose entry instance failed keeps its
 /// reservation.
 ///
-/// A repeated end changes nothing but the time until which the turn is retained.
+/// A repeated end changes nothing but the time until which the turn is
+/// retained.
 ///
 /// The chain that a turn continues from is retained while the turn may run, so
 /// that its end finds it. A turn is only retained with its complete chain.
--- a/tests/correctness/TurnRecordTest.cpp
+++ b/tests/correctness/TurnRecordTest.cpp
@@ -1,5 +1,5 @@
-// Callers count the retention time of a turn from the end of its response, which
-// follows the record of the turn.
+// Callers count the retention time of a turn from the end of its response,
+// which follows the record of the turn.
 
 #include "gateway/TurnRecord.h"
 #include "turns/TurnLedger.h"
@@ -26,8 +26,7 @@
     End.set_program("p");
     End.set_keep(true);
     End.set_text("one ");
-    End.set_retention_ms(
-        base::wholeMilliseconds(m_Record.retention(Promised)));
+    End.set_retention_ms(base::wholeMilliseconds(m_Record.retention(Promised)));
     m_Record.onSent(m_Now);
     apply(Command);
   }
