Bound the bytes of all answers that an instance holds

A faulty endpoint that sends bytes without end filled the memory of the instance that had called it, and the calls of other clients ended with the process.

Cause: each answer was buffered up to 8 MiB, and nothing added the calls up; entry instances didn't use the memory that their settings state.

Change: CallMemory knows the bytes held for calls, with a limit from the process's memory and a part for small holds. An answer is buffered up to 1 MiB and while there is room, otherwise forwarded as it arrives; the caller's connection breaks off if it doesn't end whole. An answer that states more than the maximum fails at once.

The soak's entry instances have a limit of memory in their settings now.

--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -99,6 +99,9 @@
                                                 const SendRecord &Record,
                                                 ResponseMetadata &HeadMetadata);
   boost::asio::awaitable<SendOutcome> forwardBuffered(EndpointChannel &Channel);
+  boost::asio::awaitable<SendOutcome>
+  forwardUnbuffered(EndpointChannel &Channel, std::string Begin);
+  void logEndlessResponse(std::uint64_t Bytes);
   boost::asio::awaitable<SendOutcome> forwardStream(EndpointChannel &Channel);
   boost::asio::awaitable<bool> write(std::string_view Bytes);
   /// Whether the response has really ended. One that ends with its connection
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -27,8 +27,10 @@
 
 namespace {
 
+/// Maximum size of a response that isn't a stream. A longer one has no end.
+constexpr std::size_t MaxResponseBytes = 8U << 20U;
 /// Maximum size of a response that is buffered before it is forwarded.
-constexpr std::size_t MaxBufferedResponseBytes = 8U << 20U;
+constexpr std::size_t MaxBufferedResponseBytes = 1U << 20U;
 /// Maximum responses to other requests that are skipped on one connection.
 constexpr int MaxForeignResponses = 4;
 /// Statuses which mean that a request was not executed.
@@ -79,8 +81,9 @@
 
 constexpr std::string_view LastChunk = "0\r\n\r\n";
 
-/// The framing that an answer to HEAD names for the body that it doesn't have.
-std::string headFraming(const EndpointChannel &Channel) {
+/// The framing of a body that is forwarded as it arrives, and that an answer to
+/// HEAD names for the body that it doesn't have.
+std::string bodyFraming(const EndpointChannel &Channel) {
   if (Channel.length())
     return "Content-Length: " + std::to_string(*Channel.length()) + "\r\n";
   return Channel.framing() == ResponseFraming::Chunked
@@ -474,7 +477,7 @@
     if (HeadMetadata.m_RequestId.empty() && HeadMetadata.isRefusal())
       co_return false;
     std::size_t Skipped = 0;
-    while (Skipped < MaxBufferedResponseBytes) {
+    while (Skipped < MaxResponseBytes) {
       const std::size_t Count = (co_await Channel.readSome()).size();
       if (Count == 0)
         break;
@@ -487,20 +490,31 @@
 }
 
 /// Buffers the response before its first byte is forwarded, so that the call
-/// can still be retried if the response is incomplete.
+/// can still be retried if the response is incomplete. One that is too long for
+/// that, or for which there is no memory, is forwarded as it arrives.
 asio::awaitable<SendOutcome> Call::forwardBuffered(EndpointChannel &Channel) {
+  if (!isHeadRequest() && Channel.length().value_or(0) > MaxResponseBytes) {
+    logEndlessResponse(*Channel.length());
+    Channel.abort();
+    co_return SendOutcome::Unknown;
+  }
+  CallMemory::Hold Held(m_Gateway.callMemory());
   std::string Body;
-  while (Body.size() < MaxBufferedResponseBytes) {
+  while (true) {
     const std::string_view Bytes = co_await Channel.readSome();
     if (Bytes.empty())
       break;
+    const std::size_t Size = Body.size() + Bytes.size();
     Body += Bytes;
+    // A string that grows has up to twice the capacity that it needs.
+    if (Size > MaxBufferedResponseBytes || !Held.growTo(2 * Size))
+      co_return co_await forwardUnbuffered(Channel, std::move(Body));
   }
   if (!co_await confirmEnd(Channel))
     co_return isCancelled() ? SendOutcome::Ended : SendOutcome::Unknown;
   const std::string Head = startResponse(
       Channel, isHeadRequest()
-                   ? headFraming(Channel)
+                   ? bodyFraming(Channel)
                    : "Content-Length: " + std::to_string(Body.size()) + "\r\n");
   if (!co_await write(Head + Body))
     co_return SendOutcome::Broken;
@@ -508,8 +522,49 @@
   co_return SendOutcome::Answered;
 }
 
+/// Forwards a response of which \p Begin has been read. The caller's connection
+/// ends with it if it doesn't end whole.
+asio::awaitable<SendOutcome> Call::forwardUnbuffered(EndpointChannel &Channel,
+                                                     std::string Begin) {
+  const bool Chunked = Channel.framing() == ResponseFraming::Chunked;
+  const auto Encode = [Chunked](std::string_view Bytes) {
+    return Chunked ? encodeChunk(Bytes) : std::string(Bytes);
+  };
+  std::uint64_t Size = Begin.size();
+  std::string Out = startResponse(Channel, bodyFraming(Channel));
+  Out += Encode(std::exchange(Begin, {}));
+  while (true) {
+    if (!co_await write(Out))
+      co_return SendOutcome::Broken;
+    const std::string_view Bytes = co_await Channel.readSome();
+    if (Bytes.empty())
+      break;
+    Size += Bytes.size();
+    if (Size > MaxResponseBytes) {
+      logEndlessResponse(Size);
+      Channel.abort();
+      co_return SendOutcome::Broken;
+    }
+    Out = Encode(Bytes);
+  }
+  const bool Ended = co_await confirmEnd(Channel);
+  if (!Ended || (Chunked && !co_await write(LastChunk)))
+    co_return SendOutcome::Broken;
+  setResetOnClose(false);
+  co_return SendOutcome::Answered;
+}
+
+void Call::logEndlessResponse(std::uint64_t Bytes) {
+  m_Gateway.node().log().write("response_too_long",
+                               {{"request", m_Metadata.m_Id},
+                                {"endpoint", m_CurrentEndpoint},
+                                {"bytes", Bytes},
+                                {"most", MaxResponseBytes}});
+}
+
 asio::awaitable<SendOutcome> Call::forwardStream(EndpointChannel &Channel) {
   EventStream Events(m_Route->m_RetainsTurns);
+  CallMemory::Hold Held(m_Gateway.callMemory());
   const fleet::ServiceSpec *Service = m_RouteTable->service(m_Service);
   const std::uint64_t TokensPerEvent = Service ? Service->m_TokensPerEvent : 1;
   const bool Chunked = Channel.framing() != ResponseFraming::UntilClose;
@@ -525,11 +580,12 @@
     if (Bytes.empty())
       break;
     Events.feed(Bytes);
+    const bool HasRoom = Held.growTo(2 * Events.bufferedBytes());
     const std::uint64_t StartedEvents =
         Events.eventCount() + (Events.isBetweenEvents() ? 0 : 1);
     // Otherwise it would be forwarded until the caller disconnects, and beyond
     // the turn's budget.
-    if (Events.isOverlong() ||
+    if (Events.isOverlong() || !HasRoom ||
         exceedsMaxTokens(StartedEvents * TokensPerEvent)) {
       m_Gateway.node().log().write(
           "endpoint_overran",
@@ -537,7 +593,9 @@
            {"endpoint", m_CurrentEndpoint},
            {"tokens", StartedEvents * TokensPerEvent},
            {"most", m_Metadata.m_MaxTokens},
-           {"overlong_event", Events.isOverlong() ? "yes" : "no"}});
+           {"overlong_event", Events.isOverlong() ? "yes" : "no"},
+           {"held_bytes", Held.bytes()},
+           {"has_room", HasRoom ? "yes" : "no"}});
       Channel.abort();
       co_return m_ResponseStarted ? SendOutcome::Broken : SendOutcome::Unknown;
     }
--- a/src/gateway/EventStream.h
+++ b/src/gateway/EventStream.h
@@ -26,6 +26,10 @@
   /// collected after that.
   bool isOverlong() const { return m_Overlong; }
   const std::string &text() const { return m_Text; }
+  /// Bytes of the event that is being received, and of the text.
+  std::size_t bufferedBytes() const {
+    return m_PartialLine.size() + m_Data.size() + m_Text.size();
+  }
 
 private:
   void processLine(std::string_view Line);
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -7,6 +7,7 @@
 #include "fleet/EndpointDirectory.h"
 #include "fleet/LeaderTable.h"
 #include "fleet/RouteTable.h"
+#include "gateway/CallMemory.h"
 #include "gateway/CallProtocol.h"
 #include "gateway/EndpointChannel.h"
 #include "gateway/HeldRequestTable.h"
@@ -181,6 +182,7 @@
   /// Suspends a coroutine.
   boost::asio::awaitable<void> pause(base::Duration Length);
   RateShares &rates() { return m_Rates; }
+  CallMemory &callMemory() { return m_CallMemory; }
   RecentPrograms &programs() { return m_Programs; }
   /// Whether the balancer should route callers to this instance.
   bool isReady() const;
@@ -259,6 +261,7 @@
   node::NodeRuntime m_Node;
   std::shared_ptr<const fleet::RouteTable> m_RouteTable;
   fleet::EndpointDirectory m_Endpoints;
+  CallMemory m_CallMemory;
   EndpointPool m_Pool;
   ReachabilityProbe m_Probe;
   ServicePlacement m_Placement;
--- a/tests/fleet.cmake
+++ b/tests/fleet.cmake
@@ -12,6 +12,7 @@
 psp_test(gateway_parts_test correctness/GatewayPartsTest.cpp USES psp_gateway)
 psp_test(held_request_test correctness/HeldRequestTest.cpp USES psp_gateway psp_coordinator)
 psp_test(entry_instance_count_test correctness/EntryInstanceCountTest.cpp USES psp_coordinator)
+psp_test(call_memory_test correctness/CallMemoryTest.cpp USES psp_gateway)
 psp_test(rate_admission_test correctness/RateAdmissionTest.cpp USES psp_gateway)
 psp_test(coroutine_failure_test error/CoroutineFailureTest.cpp USES psp_web)
 psp_test(throwing_call_test error/ThrowingCallTest.cpp USES psp_gateway)
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -20,6 +20,7 @@
 PEER_PORT, CONTROL_PORT, CALLER_PORT, READY_PORT = 17780, 17367, 17368, 17369
 ENDPOINT_PORT = 17425
 CONNECT_TIMEOUT_S = 2
+ENTRY_MEMORY_MB = 110
 
 
 class Proxy:
@@ -94,6 +95,8 @@
             "bootstrap": self.founding, "heartbeat_ms": 500,
             "data_directory": None if self.kind == "entry" else str(self.folder),
             "fault_tolerance": {"machines": 1}, "bounds": {"grace_s": 8, "delivery_lag_ms": 120}}
+        if self.kind == "entry":
+            settings["limits"] = {"memory_mb": ENTRY_MEMORY_MB}
         path = self.fleet.data / f"{self.name}.yaml"
         path.write_text(json.dumps(settings))
         return path
