Buffer answers up to their maximum while there is memory

Change: an answer is buffered up to the maximum of 8 MiB again, as long as CallMemory has room, and forwarded as it arrives only without room. Head and body are written from two buffers instead of a joined copy.

--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -103,7 +103,8 @@
   forwardUnbuffered(EndpointChannel &Channel, std::string Begin);
   void logEndlessResponse(std::uint64_t Bytes);
   boost::asio::awaitable<SendOutcome> forwardStream(EndpointChannel &Channel);
-  boost::asio::awaitable<bool> write(std::string_view Bytes);
+  boost::asio::awaitable<bool> write(std::string_view First,
+                                     std::string_view Second = {});
   /// Whether the response has really ended. One that ends with its connection
   /// also seems to when the endpoint's process has ended.
   boost::asio::awaitable<bool> confirmEnd(EndpointChannel &Channel);
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -29,8 +29,6 @@
 
 /// Maximum size of a response that isn't a stream. A longer one has no end.
 constexpr std::size_t MaxResponseBytes = 8U << 20U;
-/// Maximum size of a response that is buffered before it is forwarded.
-constexpr std::size_t MaxBufferedResponseBytes = 1U << 20U;
 /// Maximum responses to other requests that are skipped on one connection.
 constexpr int MaxForeignResponses = 4;
 /// Statuses which mean that a request was not executed.
@@ -490,8 +488,8 @@
 }
 
 /// Buffers the response before its first byte is forwarded, so that the call
-/// can still be retried if the response is incomplete. One that is too long for
-/// that, or for which there is no memory, is forwarded as it arrives.
+/// can still be retried if the response is incomplete. One for which there is
+/// no memory is forwarded as it arrives.
 asio::awaitable<SendOutcome> Call::forwardBuffered(EndpointChannel &Channel) {
   if (!isHeadRequest() && Channel.length().value_or(0) > MaxResponseBytes) {
     logEndlessResponse(*Channel.length());
@@ -504,10 +502,14 @@
     const std::string_view Bytes = co_await Channel.readSome();
     if (Bytes.empty())
       break;
-    const std::size_t Size = Body.size() + Bytes.size();
     Body += Bytes;
+    if (Body.size() > MaxResponseBytes) {
+      logEndlessResponse(Body.size());
+      Channel.abort();
+      co_return SendOutcome::Unknown;
+    }
     // A string that grows has up to twice the capacity that it needs.
-    if (Size > MaxBufferedResponseBytes || !Held.growTo(2 * Size))
+    if (!Held.growTo(2 * Body.size()))
       co_return co_await forwardUnbuffered(Channel, std::move(Body));
   }
   if (!co_await confirmEnd(Channel))
@@ -516,7 +518,7 @@
       Channel, isHeadRequest()
                    ? bodyFraming(Channel)
                    : "Content-Length: " + std::to_string(Body.size()) + "\r\n");
-  if (!co_await write(Head + Body))
+  if (!co_await write(Head, Body))
     co_return SendOutcome::Broken;
   setResetOnClose(false);
   co_return SendOutcome::Answered;
@@ -700,9 +702,12 @@
                        std::uint64_t{2} * Service->m_TokensPerEvent;
 }
 
-asio::awaitable<bool> Call::write(std::string_view Bytes) {
+asio::awaitable<bool> Call::write(std::string_view First,
+                                  std::string_view Second) {
+  const std::array<asio::const_buffer, 2> Bytes = {asio::buffer(First),
+                                                   asio::buffer(Second)};
   boost::system::error_code Error;
-  co_await asio::async_write(m_CallerSocket, asio::buffer(Bytes),
+  co_await asio::async_write(m_CallerSocket, Bytes,
                              asio::redirect_error(asio::use_awaitable, Error));
   if (Error)
     m_CallerDisconnected = true;
