--- a/tests/correctness/LinkWatchTest.cpp
+++ b/tests/correctness/LinkWatchTest.cpp
@@ -1,8 +1,8 @@
 #include "link/LinkManager.h"
+#include "support/LinkEncoding.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/endian/conversion.hpp>
 
 #include <gtest/gtest.h>
 
@@ -23,14 +23,6 @@
 /// In which all links connect, and read what has arrived, on a busy machine.
 constexpr auto ConnectTime = 250ms;
 
-std::string encode(const LinkMessage &Message) {
-  std::string Bytes(4, '\0');
-  boost::endian::store_big_u32(
-      reinterpret_cast<unsigned char *>(Bytes.data()),
-      static_cast<std::uint32_t>(Message.ByteSizeLong()));
-  return Bytes + Message.SerializeAsString();
-}
-
 class LinkWatchTest : public testing::Test {
 protected:
   LinkWatchTest() {
--- a/tests/correctness/ReplyAddressTest.cpp
+++ b/tests/correctness/ReplyAddressTest.cpp
@@ -3,12 +3,12 @@
 
 #include "link/LinkManager.h"
 #include "link/RequestTable.h"
+#include "support/LinkEncoding.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/endian/conversion.hpp>
 
 #include <gtest/gtest.h>
 
@@ -27,14 +27,6 @@
 /// More than the time until a lost connection is opened again.
 constexpr auto ReconnectTime = 400ms;
 
-std::string encode(const LinkMessage &Message) {
-  std::string Bytes(4, '\0');
-  boost::endian::store_big_u32(
-      reinterpret_cast<unsigned char *>(Bytes.data()),
-      static_cast<std::uint32_t>(Message.ByteSizeLong()));
-  return Bytes + Message.SerializeAsString();
-}
-
 class ReplyAddressTest : public testing::Test {
 protected:
   ReplyAddressTest() {
