--- a/review/11/case.py
+++ b/review/11/case.py
@@ -6,7 +6,7 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "kit-3"))
-from deployment import Worker, http, main, manifest, new_id  # noqa: E402
+from deployment import CannotRun, Worker, http, main, manifest, new_id  # noqa: E402
 
 ORDERS = 6
 BODY_BYTES = 2_000_000  # The manifest allows 4194304.
@@ -71,7 +71,7 @@
             breaks.append(f"REFUSED: order {request} got {status} and has run at {' and '.join(runs)}")
     if not trouble and set(answers.values()) != {200}:
         record(f"not all orders were answered: {answers}")
-        sys.exit(2)
+        raise CannotRun("see the record")
     return breaks
 
 
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -6,7 +6,7 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "kit-3"))
-from deployment import Engine, events_of, hash_of, http, main, manifest, new_id  # noqa: E402
+from deployment import CannotRun, Engine, events_of, hash_of, http, main, manifest, new_id  # noqa: E402
 
 PROGRAMS = 4
 BREAK_AFTER = 3  # Events of the first turn that its client gets before the crash.
@@ -113,7 +113,7 @@
         await asyncio.sleep(3.5 if trouble else 0.2)  # The crashed worker is back.
     if finished == 0 and not trouble:
         record("no program finished")
-        sys.exit(2)
+        raise CannotRun("see the record")
     return breaks
 
 
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -6,7 +6,7 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "kit-3"))
-from deployment import BOUNDS, Engine, events_of, http, main, manifest, new_id, read_answer  # noqa: E402
+from deployment import CannotRun, BOUNDS, Engine, events_of, http, main, manifest, new_id, read_answer  # noqa: E402
 
 WORKERS = 7
 STREAMS = 35  # On 7 workers with 8 slots each.
@@ -122,7 +122,7 @@
         record(f"the streams have not begun: {[w.running for w in workers]}")
         for each in clients:
             each.cancel()
-        sys.exit(2)
+        raise CannotRun("see the record")
     leaving = asyncio.ensure_future(busiest.leave()) if trouble else None
     await asyncio.gather(*clients)
     if leaving:
@@ -133,7 +133,7 @@
         record(f"{request} was sent whole by {completed[request].id}, its client got {results[request]}")
     record(f"{len(completed)} streams were sent whole, {len(cut)} of them were cut")
     if not trouble and len(completed) < STREAMS - 2:
-        sys.exit(2)
+        raise CannotRun("see the record")
     if len(cut) > 3:
         return [f"LOST: {len(cut)} requests from kept channels were passed on to a sound worker, which "
                 "answered whole, and their channels ended without an answer"]
