--- a/review/kit-3/deployment.py
+++ b/review/kit-3/deployment.py
@@ -137,8 +137,8 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.prefix = f"127.{random.randrange(32, 120)}.{random.randrange(1, 250)}"
         probe = f"{self.prefix}.1"
-        self.peer_port = random.randrange(20000, 28000)
-        self.control_port, self.caller_port, self.ready_port = (free_port(probe) for _ in range(3))
+        self.peer_port, self.control_port, self.caller_port, self.ready_port = (
+            free_port(probe) for _ in range(4))
         self.heartbeat_ms = heartbeat_ms
         self.nodes = []
         for machine_class, count in (("core", 3), ("storage", 3), ("frontend", fronts)):
@@ -473,6 +473,7 @@
     record = Record(pathlib.Path(folder) / "record.txt")
     record(f"trouble: {'on' if trouble else 'off'}")
     deployments = []
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # The deployments are stopped all the same.
 
     def deploy(**options):
         deployments.append(Deployment(record, **options))
