gateway: log requests whose send breaks off

Cause: a request that was not written completely left no line: neither how much of it an endpoint has, nor who ended the send.

Change: request_cut names the bytes that the system took, whether the endpoint may have begun to execute the request (its head has left whole), and whether the endpoint or this instance ended the send. No decision changes.

Tried: nothing else.

--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -357,6 +357,8 @@
   /// The connection ended before the endpoint had answered completely.
   bool m_ConnectionLost = false;
   bool m_Sent = false; ///< The present endpoint has the complete request.
+  /// The present endpoint took the request too slowly, and was left.
+  bool m_LeftSlowEndpoint = false;
   /// The caller's response ends with its connection and isn't complete.
   bool m_ResetOnClose = false;
   /// The endpoint that may have ended with this call before, and its start.
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -127,7 +127,7 @@
     m_CurrentEndpoint = Id;
     m_CurrentAddress = Endpoint.address();
     m_CurrentDataCentre = Endpoint.data_centre();
-    m_ConnectionLost = m_Sent = false;
+    m_ConnectionLost = m_Sent = m_LeftSlowEndpoint = false;
     SendOutcome Outcome = SendOutcome::Ended;
     if (TwoTries)
       Outcome = co_await sendWithSecondTry(Endpoint, Excluded);
@@ -283,6 +283,11 @@
   // An endpoint may answer before it has read the whole body.
   if (!SentWhole && !Channel->hasUnread()) {
     // The request was not written completely, so it can't have been executed.
+    logCutRequest(m_Gateway,
+                  {.m_RequestId = m_Metadata.m_Id,
+                   .m_Endpoint = Id,
+                   .m_StartTime = Endpoint.born()},
+                  *Channel, isCancelled() || m_LeftSlowEndpoint);
     Placement.onFailed(Id);
     co_return isCancelled() ? SendOutcome::Ended : SendOutcome::NotRun;
   }
--- a/src/gateway/CallTransfers.cpp
+++ b/src/gateway/CallTransfers.cpp
@@ -129,6 +129,7 @@
        {"organisation", organisationName()},
        {"endpoint", m_CurrentEndpoint},
        {"has_answered", Channel.hasUnread() ? "yes" : "no"}});
+  m_LeftSlowEndpoint = true;
   Channel.cancel();
 }
 
--- a/src/gateway/EndpointChannel.cpp
+++ b/src/gateway/EndpointChannel.cpp
@@ -119,11 +119,17 @@
   boost::system::error_code Error;
   m_Used = true;
   m_SentWhole = false;
+  m_SentBytes = 0;
   m_SentHead = Out.method() == http::verb::head;
   http::request_serializer<ForwardedBody> Serializer(Out);
+  // The serializer's first buffers are the head and the whole body.
+  Serializer.next(Error, [&](boost::system::error_code &, const auto &Buffers) {
+    m_HeadBytes = boost::beast::buffer_bytes(Buffers) - Out.body().size();
+  });
   while (!Error && !Serializer.is_done()) {
     const std::size_t Count = co_await http::async_write_some(
         m_Socket, Serializer, asio::redirect_error(asio::use_awaitable, Error));
+    m_SentBytes += Count;
     if (OnSent)
       OnSent(Count);
   }
--- a/src/gateway/EndpointChannel.h
+++ b/src/gateway/EndpointChannel.h
@@ -49,10 +49,17 @@
   /// Connects within \p Timeout. The channel is open if the endpoint accepts.
   boost::asio::awaitable<Reachability> connect(base::Duration Timeout);
   /// Returns false if the request couldn't be written completely. \p OnSent is
-  /// called with the bytes of each piece, if given.
+  /// called with the bytes of each piece, if given. See mayHaveBegun().
   boost::asio::awaitable<bool>
   send(OutgoingRequest &Out,
        std::function<void(std::size_t Bytes)> OnSent = {});
+  /// Whether the endpoint may have begun to execute the last request: it may do
+  /// so with the head, before it has read the body.
+  bool mayHaveBegun() const {
+    return m_HeadBytes > 0 && m_SentBytes >= m_HeadBytes;
+  }
+  /// Bytes of the last request that this system has taken for the endpoint.
+  std::size_t sentBytes() const { return m_SentBytes; }
   /// Reads the head of the next response, past any interim ones (1xx). Returns
   /// false if the connection ends or the head is invalid.
   boost::asio::awaitable<bool> readHead();
@@ -106,8 +113,10 @@
   std::vector<char> m_ReadBuffer;
   bool m_MarkedIncomplete = false;
   bool m_Used = false;
-  bool m_SentWhole = false; ///< The last request.
-  bool m_SentHead = false;  ///< The last request was a HEAD, without a body.
+  bool m_SentWhole = false;    ///< The last request.
+  std::size_t m_SentBytes = 0; ///< Of the last request.
+  std::size_t m_HeadBytes = 0; ///< Length of the last request's head.
+  bool m_SentHead = false;     ///< The last request was a HEAD, without a body.
   std::uint64_t m_HeadCount = 0; ///< Of responses, without interim ones.
   base::TimePoint m_IdleSince;
   base::Duration m_IdleTimeout{0};
--- a/src/gateway/EndpointExchange.cpp
+++ b/src/gateway/EndpointExchange.cpp
@@ -72,6 +72,11 @@
   // An endpoint may answer before it has read the whole body.
   if (!SentWhole && !m_Channel->hasUnread()) {
     // The request was not written completely, so it can't have been executed.
+    logCutRequest(m_Gateway,
+                  {.m_RequestId = m_Options.m_RequestId,
+                   .m_Endpoint = Id,
+                   .m_StartTime = endpoint().born()},
+                  *m_Channel, m_Cancelled);
     if (!m_Cancelled)
       Placement.onFailed(Id);
     co_return ExchangeResult::NotRun;
--- a/src/gateway/MatchingResponse.cpp
+++ b/src/gateway/MatchingResponse.cpp
@@ -112,6 +112,16 @@
   co_return false;
 }
 
+void logCutRequest(Gateway &Owner, const SentRequest &Sent,
+                   const EndpointChannel &Channel, bool EndedHere) {
+  Owner.node().log().write(
+      "request_cut", {{"request", Sent.m_RequestId},
+                      {"endpoint", Sent.m_Endpoint},
+                      {"sent_bytes", Channel.sentBytes()},
+                      {"may_have_begun", Channel.mayHaveBegun() ? "yes" : "no"},
+                      {"ended_by", EndedHere ? "instance" : "endpoint"}});
+}
+
 void logEndlessResponse(Gateway &Owner, const std::string &RequestId,
                         const std::string &Endpoint, std::uint64_t Bytes) {
   Owner.node().log().write("response_too_long", {{"request", RequestId},
--- a/src/gateway/MatchingResponse.h
+++ b/src/gateway/MatchingResponse.h
@@ -62,6 +62,11 @@
                                               SentRequest Sent,
                                               ResponseMetadata &HeadMetadata);
 
+/// Logs that a request was not written completely to \p Channel. \p EndedHere:
+/// this instance ended the send, and not the endpoint.
+void logCutRequest(Gateway &Owner, const SentRequest &Sent,
+                   const EndpointChannel &Channel, bool EndedHere);
+
 /// Reports that \p Endpoint sent \p Bytes or more.
 void logEndlessResponse(Gateway &Owner, const std::string &RequestId,
                         const std::string &Endpoint, std::uint64_t Bytes);
