gateway: a request counts as not run only if its head didn't leave

Others got 503, which promises that the order has not run and never will, although it had begun at up to six endpoints.

Cause: Call::sendTo took a body that was not written completely for a request that the endpoint can't have begun. An endpoint may begin with the head. EndpointExchange (second tries) concluded the same.

Change: EndpointChannel::mayHaveBegun() tells whether the whole head has left, or the endpoint has sent something. From then on the send counts as an execution, whoever ends it: the endpoint, the deadline, a planned stop, or this instance as the endpoint reads nothing. So orders are answered 502 or 504, repeatable requests stay within the attempts of their route, and a request that ends its endpoint while its body arrives is reported as lost. A cancelled second try counts while its send is under way. While calls lack memory, an endpoint that stops reading is given 3 s instead of 0.6 s if the call can't be sent to another one: it may pause and go on.

Why it works: nothing but a connection that didn't open, an incomplete head or a refusal that the endpoint states shows that a request has not begun.

--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -135,6 +135,9 @@
   bool mayRetry() const;
   boost::asio::awaitable<bool> maySend();
   bool hasGivenUp(const std::string &Endpoint) const;
+  /// Whether the call may be sent to another endpoint if the next one fails
+  /// after it may have begun to execute it.
+  bool mayRetryNextTry() const;
   bool exceedsMaxTokens(std::uint64_t Tokens) const;
   /// Schedules checks that abort the wait for \p Endpoint when it becomes
   /// unreachable.
@@ -356,7 +359,7 @@
   base::Duration m_HeldPathWait{0};
   /// The connection ended before the endpoint had answered completely.
   bool m_ConnectionLost = false;
-  bool m_Sent = false; ///< The present endpoint has the complete request.
+  bool m_Sent = false; ///< The present endpoint may have begun to execute it.
   /// The present endpoint took the request too slowly, and was left.
   bool m_LeftSlowEndpoint = false;
   /// The caller's response ends with its connection and isn't complete.
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -220,6 +220,10 @@
          !isCancelled();
 }
 
+bool Call::mayRetryNextTry() const {
+  return m_Route->isRepeatable() && m_Executions + 1 < m_Route->m_Attempts;
+}
+
 /// Sends the call to one endpoint, and counts that there.
 asio::awaitable<SendOutcome>
 Call::sendOnce(const fleet::EndpointState &Endpoint) {
@@ -281,18 +285,24 @@
   Record.m_SentAt = base::readMonotonic();
   const bool SentWhole = co_await sendRequest(*Channel, Out);
   // An endpoint may answer before it has read the whole body.
-  if (!SentWhole && !Channel->hasUnread()) {
-    // The request was not written completely, so it can't have been executed.
+  const bool HasAnswer = !SentWhole && Channel->hasUnread();
+  const bool MayHaveBegun = Channel->mayHaveBegun() || HasAnswer;
+  if (MayHaveBegun) {
+    ++m_Executions;
+    m_Sent = true;
+  }
+  if (!SentWhole && !HasAnswer) {
     logCutRequest(m_Gateway,
                   {.m_RequestId = m_Metadata.m_Id,
                    .m_Endpoint = Id,
                    .m_StartTime = Endpoint.born()},
                   *Channel, isCancelled() || m_LeftSlowEndpoint);
+    if (isCancelled())
+      co_return SendOutcome::Ended;
     Placement.onFailed(Id);
-    co_return isCancelled() ? SendOutcome::Ended : SendOutcome::NotRun;
+    m_ConnectionLost = MayHaveBegun && !m_LeftSlowEndpoint;
+    co_return MayHaveBegun ? SendOutcome::Unknown : SendOutcome::NotRun;
   }
-  ++m_Executions;
-  m_Sent = true;
   m_LastSentAt = Record.m_SentAt;
   m_FirstEventUs = 0;
   if (m_IsTurn)
--- a/src/gateway/CallTransfers.cpp
+++ b/src/gateway/CallTransfers.cpp
@@ -25,6 +25,10 @@
 /// if its system is out of reach.
 constexpr StallLimits EndpointStallLimits = {
     .m_Usual = base::seconds(10), .m_Scarce = base::milliseconds(600)};
+/// The same if the call can't be sent to another one: the endpoint may pause
+/// for a second or two and go on.
+constexpr StallLimits LastEndpointStallLimits = {.m_Usual = base::seconds(10),
+                                                 .m_Scarce = base::seconds(3)};
 /// The same once it has sent something, most likely its answer.
 constexpr StallLimits AnsweredStallLimits = {
     .m_Usual = base::milliseconds(250), .m_Scarce = base::milliseconds(250)};
@@ -106,7 +110,7 @@
     Watch.emplace(m_Gateway.slowTransfers(), Limits,
                   [this, &Channel] { leaveSlowEndpoint(Channel); });
   };
-  BeginWatch(EndpointStallLimits);
+  BeginWatch(mayRetryNextTry() ? EndpointStallLimits : LastEndpointStallLimits);
   // What arrives while the body is sent may be the answer to it. The endpoint
   // may read on, but need not.
   const auto Sending = std::make_shared<bool>(true);
--- a/src/gateway/EndpointExchange.cpp
+++ b/src/gateway/EndpointExchange.cpp
@@ -68,10 +68,13 @@
   if (!m_Options.m_MaySend())
     co_return ExchangeResult::NotRun;
   m_SentAt = base::readMonotonic();
+  m_Sending = true;
   const bool SentWhole = co_await m_Channel->send(m_Options.m_Request);
+  m_Sending = false;
   // An endpoint may answer before it has read the whole body.
-  if (!SentWhole && !m_Channel->hasUnread()) {
-    // The request was not written completely, so it can't have been executed.
+  const bool HasAnswer = !SentWhole && m_Channel->hasUnread();
+  m_Sent = m_Channel->mayHaveBegun() || HasAnswer;
+  if (!SentWhole && !HasAnswer) {
     logCutRequest(m_Gateway,
                   {.m_RequestId = m_Options.m_RequestId,
                    .m_Endpoint = Id,
@@ -79,9 +82,9 @@
                   *m_Channel, m_Cancelled);
     if (!m_Cancelled)
       Placement.onFailed(Id);
-    co_return ExchangeResult::NotRun;
+    m_ConnectionLost = m_Sent && !m_Cancelled;
+    co_return m_Sent ? ExchangeResult::Lost : ExchangeResult::NotRun;
   }
-  m_Sent = true;
   co_return co_await receive();
 }
 
--- a/src/gateway/EndpointExchange.h
+++ b/src/gateway/EndpointExchange.h
@@ -60,11 +60,12 @@
   base::TimePoint startedAt() const { return m_StartedAt; }
   base::TimePoint sentAt() const { return m_SentAt; }
   base::TimePoint respondedAt() const { return m_RespondedAt; }
-  /// The endpoint has the complete request and hasn't refused it.
+  /// The endpoint may have begun to execute the request, and hasn't refused it.
   bool mayHaveRun() const {
-    return m_Sent && m_Result != ExchangeResult::NotRun;
+    return wasSent() && m_Result != ExchangeResult::NotRun;
   }
-  bool wasSent() const { return m_Sent; }
+  /// The endpoint may have begun to execute the request, or has refused it.
+  bool wasSent() const { return m_Sent || m_Sending; }
   /// Not run because the caller expects weights that the endpoint doesn't have.
   bool hasOtherWeights() const { return m_HasOtherWeights; }
   /// The connection ended before a complete response.
@@ -99,7 +100,8 @@
   base::TimePoint m_StartedAt;
   base::TimePoint m_SentAt;
   base::TimePoint m_RespondedAt;
-  bool m_Sent = false;
+  bool m_Sending = false; ///< Part of the request may have left.
+  bool m_Sent = false;    ///< The endpoint may have begun to execute it.
   bool m_Cancelled = false;
   bool m_ConnectionLost = false;
   bool m_HasOtherWeights = false;
