turns: a turn that is taken up is retained with its whole text

Cause: the end of a turn is recorded by the instance that forwards its last part, with the events of that attempt only. What the earlier attempts had handed out was dropped when they broke off, and the rest of a text looked like a whole one.

Change: on such routes the end of each attempt records the events that it has handed out, from the stream's first one on (no further message). The ledger remembers the attempts of a stream (StreamAttempts). A take-up first reads the events up to its last one; they are known once all attempts that may have handed out such events have ended and if their records agree. It waits up to 1.2 s for that and is refused otherwise, to be begun anew. The ledger retains no text that begins after the first event, so that no other way leads to a history with a gap.

Where the instance that handed out the events was killed, the take-up is answered 503 and the turn can be begun anew.

Weighed: to refuse each take-up on such routes (a manifest that declares both promises otherwise), and to record each event as it passes (a message and a commit for each; it would survive the loss of an instance).

Tried: records filed under the name that a take-up gives, also if it starts from the first event; a caller names that attempt later, which wasn't found. Found by reading.

--- a/src/gateway/Call.cpp
+++ b/src/gateway/Call.cpp
@@ -40,6 +40,9 @@
 constexpr base::Duration HoldRequestTimeout = base::seconds(1);
 /// Timeout of each request that decides whether a call is within the rate.
 constexpr base::Duration RateRequestTimeout = base::milliseconds(250);
+/// Events with a longer text are not recorded for a caller that takes the
+/// stream up.
+constexpr std::size_t MaxRecordedEventsBytes = 1U << 20U;
 
 } // namespace
 
@@ -367,6 +370,9 @@
   Begin.set_service(m_Service);
   Begin.set_prompt_prefix(m_Metadata.m_PromptPrefix);
   describeStream(Begin);
+  if (m_Route->m_RetainsTurns && !m_Metadata.m_LastEventId.empty())
+    if (auto Reason = co_await readEarlierEvents(*Group))
+      co_return Reason;
   describeProgramTime(Begin);
   LeaderRequest.set_chain_in_parts(true);
   LeaderRequest.set_prompt_tokens(m_Metadata.m_PromptTokens);
@@ -587,11 +593,35 @@
   if (Complete && m_Route->m_RetainsTurns) {
     End.set_keep(true);
     End.set_previous(m_Metadata.m_PreviousTurn);
-    End.set_text(m_Request.body() + m_Output);
+    End.set_text(m_Request.body());
+    if (m_EventStream)
+      End.mutable_text()->append(m_EventStream->text());
+    if (m_EarlierEvents.m_Events.empty())
+      End.set_after_event(m_Metadata.m_LastEventId);
   }
+  if (recordsEvents())
+    describeEvents(End);
   return End;
 }
 
+void Call::describeEvents(messages::fleet::EndTurn &End) const {
+  const bool HandedOutAny = m_EventStream && m_EventStream->eventCount() > 0;
+  if (HandedOutAny) {
+    const CollectedEvents &Events = m_EventStream->collected();
+    if (Events.m_Text.size() > MaxRecordedEventsBytes)
+      return;
+    for (const CollectedEvent &Each : Events.m_Events) {
+      auto &Mark = *End.add_events();
+      Mark.set_id(Each.m_Id);
+      Mark.set_bytes(Each.m_Bytes);
+    }
+    if (!End.keep())
+      End.set_text(Events.m_Text);
+  }
+  End.set_stream(m_Metadata.m_LastEventId.empty() ? m_Metadata.m_Id
+                                                  : m_Metadata.m_Resumes);
+}
+
 /// Records the complete turn before its response ends.
 asio::awaitable<bool> Call::recordTurn() {
   messages::fleet::Request LeaderRequest;
--- a/src/gateway/Call.h
+++ b/src/gateway/Call.h
@@ -186,6 +186,8 @@
   void describePlacement(messages::fleet::TurnPlacement &Placement) const;
   void describeProgramTime(messages::fleet::BeginTurn &Begin) const;
   messages::fleet::EndTurn makeEndTurn(bool Complete) const;
+  /// Adds the events that this attempt has handed out, and those before them.
+  void describeEvents(messages::fleet::EndTurn &End) const;
   boost::asio::awaitable<bool> recordTurn();
   /// Renews the record in the background if the response ended long after it.
   void renewOldRecord();
@@ -244,6 +246,12 @@
   /// none serves.
   Refusal versionRefusal();
   void describeStream(messages::fleet::BeginTurn &Begin) const;
+  /// Whether the events of this call are recorded for a caller that takes its
+  /// stream up: its turn is retained with the whole text.
+  bool recordsEvents() const;
+  /// Reads the events that the caller has already of the turn that it takes up.
+  boost::asio::awaitable<std::optional<Refusal>>
+  readEarlierEvents(std::uint32_t Group);
   Refusal takeUpRefusal(base::ErrorKind Kind);
   /// Finds the version of the stream that a call without a token budget takes
   /// up.
@@ -344,7 +352,9 @@
   std::uint32_t m_EventGapUs = 0;
   std::uint32_t m_FirstEventUs = 0; ///< Since the send; zero: unknown.
   TimePoint m_LastSentAt;           ///< To the present endpoint.
-  std::string m_Output;
+  /// Those that the caller has already of a stream that it takes up.
+  CollectedEvents m_EarlierEvents;
+  std::optional<EventStream> m_EventStream; ///< Of the last try, with those.
   std::string m_CurrentEndpoint;
   std::string m_CurrentAddress;    ///< Of m_CurrentEndpoint.
   std::string m_CurrentDataCentre; ///< Of m_CurrentEndpoint.
--- a/src/gateway/CallSending.cpp
+++ b/src/gateway/CallSending.cpp
@@ -561,7 +561,11 @@
 }
 
 asio::awaitable<SendOutcome> Call::forwardStream(EndpointChannel &Channel) {
-  EventStream Events(m_Route->m_RetainsTurns);
+  if (recordsEvents())
+    m_EventStream.emplace(m_EarlierEvents);
+  else
+    m_EventStream.emplace(m_Route->m_RetainsTurns);
+  EventStream &Events = *m_EventStream;
   CallMemory::Hold Held(m_Gateway.callMemory());
   const fleet::ServiceSpec *Service = m_RouteTable->service(m_Service);
   const std::uint64_t TokensPerEvent = Service ? Service->m_TokensPerEvent : 1;
@@ -638,7 +642,6 @@
       co_return SendOutcome::Broken;
     co_return isCancelled() ? SendOutcome::Ended : SendOutcome::Unknown;
   }
-  m_Output = Events.text();
   if (m_IsTurn && m_Route->m_RetainsTurns && !co_await recordTurn())
     co_return SendOutcome::Broken;
   std::string End = Head();
--- a/src/gateway/CallStreams.cpp
+++ b/src/gateway/CallStreams.cpp
@@ -24,6 +24,10 @@
 /// Maximum time that a call waits for an endpoint of its stream's version to
 /// become known: an announcement interval.
 constexpr base::Duration MaxVersionWait = base::milliseconds(1200);
+/// Maximum time that a call waits for the records of earlier attempts at its
+/// stream, which are made when these end.
+constexpr base::Duration MaxEventsWait = base::milliseconds(1200);
+constexpr base::Duration EventsRetryPause = base::milliseconds(40);
 /// A stream with a longer name is not recorded, in bytes.
 constexpr std::size_t MaxStreamNameBytes = 128;
 
@@ -182,6 +186,56 @@
   Begin.set_resumes(m_Metadata.m_Resumes);
   Begin.set_stream_retention_ms(
       base::wholeMilliseconds(m_Route->m_Timeout + StreamTakeUpTime));
+  Begin.set_after_event(m_Metadata.m_LastEventId);
+  Begin.set_records_events(recordsEvents());
+}
+
+bool Call::recordsEvents() const {
+  return m_IsTurn && m_Route->m_RetainsTurns && canBeTakenUp();
+}
+
+asio::awaitable<std::optional<Refusal>>
+Call::readEarlierEvents(std::uint32_t Group) {
+  if (!recordsEvents() || !namesStream())
+    co_return takeUpRefusal(ErrorKind::StreamUnknown);
+  messages::fleet::Request LeaderRequest;
+  LeaderRequest.set_group(Group);
+  auto &Wanted = *LeaderRequest.mutable_find_stream();
+  Wanted.set_stream(m_Metadata.m_Resumes);
+  Wanted.set_organisation(organisationName());
+  Wanted.set_after_event(m_Metadata.m_LastEventId);
+  const TimePoint Deadline =
+      base::readMonotonic() +
+      std::min<base::Duration>(MaxEventsWait, timeLeft() / 2);
+  std::optional<messages::fleet::Reply> LeaderReply;
+  do {
+    if (LeaderReply)
+      co_await m_Gateway.pause(EventsRetryPause);
+    LeaderReply = co_await m_Gateway.requestFromLeader(
+        messages::fleet::NODE_HISTORY, LeaderRequest,
+        std::min(m_Gateway.leaderWaitTimeout(Group), timeLeft()));
+  } while (LeaderReply && LeaderReply->kind() == messages::fleet::REPLY_BUSY &&
+           !isCancelled() && base::readMonotonic() < Deadline);
+  if (!LeaderReply || LeaderReply->kind() == messages::fleet::REPLY_UNAVAILABLE)
+    co_return Refusal(ErrorKind::QuorumUnavailable,
+                      "no leader of history answered",
+                      m_Gateway.retryDelayWithoutLeader());
+  if (LeaderReply->kind() == messages::fleet::REPLY_BUSY)
+    co_return Refusal(ErrorKind::QuorumUnavailable,
+                      "the events of an earlier attempt are not recorded yet",
+                      EndpointRetryDelay);
+  // A leader with earlier software doesn't know of events.
+  if (!LeaderReply->has_events() || LeaderReply->events().empty())
+    co_return takeUpRefusal(ErrorKind::StreamUnknown);
+  if (!m_Held.growTo(m_Held.bytes() + LeaderReply->text().size()))
+    co_return Refusal(ErrorKind::Overloaded,
+                      "there is no memory for the turn's earlier events",
+                      m_Gateway.callMemory().retryDelay());
+  for (const messages::fleet::EventMark &Mark : LeaderReply->events())
+    m_EarlierEvents.m_Events.push_back(
+        {.m_Id = Mark.id(), .m_Bytes = Mark.bytes()});
+  m_EarlierEvents.m_Text = std::move(*LeaderReply->mutable_text());
+  co_return std::nullopt;
 }
 
 Refusal Call::takeUpRefusal(ErrorKind Kind) {
--- a/src/gateway/EventStream.cpp
+++ b/src/gateway/EventStream.cpp
@@ -6,7 +6,16 @@
 
 namespace {
 
+/// The value of a field, of which a space at the start is no part.
+std::string_view fieldValue(std::string_view Line, std::string_view Prefix) {
+  Line.remove_prefix(Prefix.size());
+  if (Line.starts_with(' '))
+    Line.remove_prefix(1);
+  return Line;
+}
+
 constexpr std::string_view DataPrefix = "data:";
+constexpr std::string_view IdPrefix = "id:";
 /// Far above any valid event: one with some hundred tokens has a few thousand
 /// bytes.
 constexpr std::size_t MaxEventBytes = 1U << 20U;
@@ -36,13 +45,12 @@
   if (!Line.empty()) {
     m_InEvent = true;
     if (Line.starts_with(DataPrefix)) {
-      Line.remove_prefix(DataPrefix.size());
-      if (Line.starts_with(' '))
-        Line.remove_prefix(1);
       if (std::exchange(m_HasData, true))
         m_Data += '\n';
-      m_Data += Line;
+      m_Data += fieldValue(Line, DataPrefix);
       m_Overlong = m_Data.size() > MaxEventBytes;
+    } else if (Line.starts_with(IdPrefix)) {
+      m_Id = fieldValue(Line, IdPrefix);
     }
     return;
   }
@@ -51,9 +59,13 @@
   if (std::exchange(m_HasData, false)) {
     ++m_Events;
     if (m_CollectText)
-      m_Text += m_Data + '\n';
+      m_Collected.m_Text += m_Data + '\n';
+    if (m_CollectIds)
+      m_Collected.m_Events.push_back(
+          {.m_Id = std::move(m_Id), .m_Bytes = m_Data.size() + 1});
   }
   m_Data.clear();
+  m_Id.clear();
 }
 
 } // namespace psp::gateway
--- a/src/history/HistoryNode.h
+++ b/src/history/HistoryNode.h
@@ -124,6 +124,10 @@
   void onRecordStream(const ReplyAddress &From, const Request &Received);
   boost::asio::awaitable<void> replyToFindStream(ReplyAddress From,
                                                  Request Received);
+  /// Replies with the events that the caller of a stream has, from the records
+  /// of its attempts.
+  boost::asio::awaitable<void> replyToFindEvents(ReplyAddress From,
+                                                 Request Received);
   void onRecordServiceVersion(const ReplyAddress &From,
                               const Request &Received);
   boost::asio::awaitable<void> replyToFindServiceVersion(ReplyAddress From,
--- a/src/history/HistoryStateMachine.cpp
+++ b/src/history/HistoryStateMachine.cpp
@@ -154,6 +154,28 @@
   return true;
 }
 
+void HistoryStateMachine::addHandedOutEvents(
+    const messages::fleet::FindStream &Wanted, std::uint64_t NowMs,
+    Reply &Answer) const {
+  const auto Recorded = m_Ledger.streamAttempts().find(
+      Wanted.organisation(), Wanted.stream(), Wanted.after_event(), NowMs);
+  if (Recorded && Recorded->m_Incomplete) {
+    Answer.set_kind(messages::fleet::REPLY_BUSY);
+    return;
+  }
+  std::optional<HandedOutEvents> Events;
+  if (Recorded)
+    Events = readHandedOutEvents(m_Entries, *Recorded, Wanted.after_event());
+  if (!Events) {
+    Answer.set_kind(messages::fleet::REPLY_STREAM_UNKNOWN);
+    return;
+  }
+  Answer.set_has_events(true);
+  Answer.set_text(std::move(Events->m_Text));
+  for (messages::fleet::EventMark &Mark : Events->m_Marks)
+    *Answer.add_events() = std::move(Mark);
+}
+
 bool HistoryStateMachine::coalesce(const fleet::ReplyAddress &From,
                                    const Request &Repeated) {
   const auto [Kind, Turn] = subjectOf(Repeated);
--- a/src/history/HistoryStateMachine.h
+++ b/src/history/HistoryStateMachine.h
@@ -8,6 +8,7 @@
 #include "consensus/StateMachine.h"
 #include "fleet/ReplyAddress.h"
 #include "history/ChainTexts.h"
+#include "history/HandedOutEvents.h"
 #include "turns/TurnLedger.h"
 
 #include <cstdint>
@@ -89,6 +90,11 @@
   /// if this group has no such turn.
   bool addChain(const std::string &Organisation, const std::string &Turn,
                 bool InParts, Reply &Answer) const;
+  /// Adds the events to \p Answer that the caller has who takes up a stream as
+  /// \p Wanted, at \p NowMs. Without them \p Answer is BUSY if they may still
+  /// be recorded, and otherwise STREAM_UNKNOWN.
+  void addHandedOutEvents(const messages::fleet::FindStream &Wanted,
+                          std::uint64_t NowMs, Reply &Answer) const;
   const turns::TurnLedger &ledger() const { return m_Ledger; }
 
 private:
--- a/src/history/HistoryStreams.cpp
+++ b/src/history/HistoryStreams.cpp
@@ -1,5 +1,6 @@
 #include "history/HistoryNode.h"
 
+#include "base/Error.h"
 #include "fleet/ProgramGroups.h"
 #include "history/LaterVersion.h"
 
@@ -172,6 +173,10 @@
 
 asio::awaitable<void> HistoryNode::replyToFindStream(ReplyAddress From,
                                                      Request Received) {
+  if (!Received.find_stream().after_event().empty()) {
+    co_await replyToFindEvents(From, Received);
+    co_return;
+  }
   const FoundStream Found = co_await findStream(
       Received.group(), Received.find_stream().organisation(),
       Received.find_stream().stream());
@@ -183,4 +188,35 @@
   reply(From, Received.id(), std::move(Outgoing));
 }
 
+/// A leader that is cut off may lack the record of a later attempt, so the
+/// state is confirmed by a round to the group's members.
+asio::awaitable<void> HistoryNode::replyToFindEvents(ReplyAddress From,
+                                                     Request Received) {
+  const messages::fleet::FindStream &Wanted = Received.find_stream();
+  Reply Outgoing;
+  Outgoing.set_kind(messages::fleet::REPLY_NOT_LEADER);
+  if (co_await confirmRead(Received.group())) {
+    try {
+      Outgoing.set_kind(messages::fleet::REPLY_OK);
+      m_Hosted.at(Received.group())
+          ->m_State.addHandedOutEvents(
+              Wanted, base::readClocks().m_Wall / MicrosecondsPerMs, Outgoing);
+    } catch (const base::UserError &Error) {
+      // Another member has an undamaged copy.
+      Outgoing.set_kind(messages::fleet::REPLY_NOT_LEADER);
+      m_Node.log().write("entry_damaged", {{"number", Received.group()},
+                                           {"reason", Error.what()}});
+      m_Groups->transferLeadership(Received.group());
+    }
+  }
+  m_Node.log().write(
+      "stream_events_searched",
+      {{"stream", Wanted.stream()},
+       {"organisation", Wanted.organisation()},
+       {"after_event", Wanted.after_event()},
+       {"found", messages::fleet::ReplyKind_Name(Outgoing.kind())},
+       {"bytes", Outgoing.text().size()}});
+  reply(From, Received.id(), std::move(Outgoing));
+}
+
 } // namespace psp::history
--- a/src/turns/TurnLedger.cpp
+++ b/src/turns/TurnLedger.cpp
@@ -79,6 +79,12 @@
     extendChain(keyOf(Command.organisation(), Command.previous()),
                 latestEndMs(Command, WallMs));
   recordVersion(Command, WallMs);
+  if (Command.records_events())
+    m_StreamAttempts.begin(
+        Command.organisation(),
+        Command.after_event().empty() ? Command.turn() : Command.resumes(),
+        {.m_Name = Command.turn(), .m_AfterEvent = Command.after_event()},
+        WallMs + Command.stream_retention_ms());
 }
 
 std::uint64_t TurnLedger::latestEndMs(const BeginTurn &Command,
@@ -150,6 +156,9 @@
   }
   State.m_Reserved.erase(Command.turn());
   State.m_Spent += Command.tokens();
+  if (!Command.stream().empty())
+    m_StreamAttempts.end(Command.organisation(), Command.stream(),
+                         Command.turn(), Index, Command.events_size() > 0);
   if (Command.keep())
     retain(Index, Command, WallMs);
 }
@@ -157,8 +166,9 @@
 void TurnLedger::retain(std::uint64_t Index, const EndTurn &Command,
                         std::uint64_t WallMs) {
   // Later turns would run without the part of the chain that is missing.
-  if (!Command.previous().empty() &&
-      !hasChain(Command.organisation(), Command.previous()))
+  const bool IsTextWhole = Command.after_event().empty();
+  if (!IsTextWhole || (!Command.previous().empty() &&
+                       !hasChain(Command.organisation(), Command.previous())))
     return;
   const std::uint64_t ExpiresMs = WallMs + Command.retention_ms();
   const Key TurnKey = keyOf(Command.organisation(), Command.turn());
@@ -237,11 +247,15 @@
                 [](const ProgramState &) {});
   m_Streams.expire(WallMs);
   m_ServiceVersions.expire(WallMs);
+  m_StreamAttempts.expire(WallMs);
 }
 
 std::optional<std::uint64_t> TurnLedger::oldestEntry() const {
-  return m_EntryIndexes.empty() ? std::nullopt
-                                : std::optional(*m_EntryIndexes.begin());
+  const auto OfStreams = m_StreamAttempts.oldestEntry();
+  if (m_EntryIndexes.empty())
+    return OfStreams;
+  return std::min(*m_EntryIndexes.begin(),
+                  OfStreams.value_or(*m_EntryIndexes.begin()));
 }
 
 bool TurnLedger::hasTurn(const std::string &Organisation,
@@ -315,6 +329,7 @@
   }
   m_Streams.save(Message);
   m_ServiceVersions.save(Message);
+  m_StreamAttempts.save(Message);
   return Message.SerializeAsString();
 }
 
@@ -329,6 +344,7 @@
   m_ProgramExpiry.clear();
   m_Streams.load(Message);
   m_ServiceVersions.load(Message);
+  m_StreamAttempts.load(Message);
   for (const auto &Row : Message.turns())
     storeTurn(Row.key(),
               {.m_Previous = Row.previous().empty()
--- a/src/turns/TurnLedger.h
+++ b/src/turns/TurnLedger.h
@@ -8,6 +8,7 @@
 #include "generated/fleet.pb.h"
 #include "turns/ExpiryQueue.h"
 #include "turns/ServiceVersions.h"
+#include "turns/StreamAttempts.h"
 #include "turns/StreamVersions.h"
 
 #include <cstdint>
@@ -60,7 +61,8 @@
 /// retained.
 ///
 /// The chain that a turn continues from is retained while the turn may run, so
-/// that its end finds it. A turn is only retained with its complete chain.
+/// that its end finds it. A turn is only retained with its complete chain, and
+/// with its complete text.
 ///
 /// The texts of turns stay in the log; the ledger holds the indexes of their
 /// entries.
@@ -98,6 +100,7 @@
   std::size_t programCount() const { return m_Programs.size(); }
   const StreamVersions &streams() const { return m_Streams; }
   const ServiceVersions &serviceVersions() const { return m_ServiceVersions; }
+  const StreamAttempts &streamAttempts() const { return m_StreamAttempts; }
   /// Sum of the tokens charged and reserved, for tests and dumps.
   std::uint64_t committedTokens(const std::string &Organisation,
                                 const std::string &Program) const;
@@ -145,6 +148,7 @@
   std::unordered_map<Key, ProgramState> m_Programs;
   StreamVersions m_Streams;
   ServiceVersions m_ServiceVersions;
+  StreamAttempts m_StreamAttempts;
   ExpiryQueue m_TurnExpiry;
   ExpiryQueue m_ProgramExpiry;
   BeginOutcome m_LastBeginOutcome = BeginOutcome::Granted;
