history: a copy of a turn lives as long as the turn, and expiry is by time

Cause: a copy of a chain in another group was retained by the route of the program that continued, and never extended. Time passes in a group with its commands only, and the leader's lookups asked whether the copy was there, not whether its time was over. The next command removed it, found no such turn, and that was final, although the turn's own group had it.

Change: the group that has a turn states how long its chain is still retained, and a copy lives as long, and until the turn that it is made for has begun, which may wait for a slot. A copy that is there is extended, in parts too. Lookups state their moment: chains, programs, the versions of streams and of services; only a group that another one asks hands out what it still has, since clocks may step. A missing chain at the begin of a turn is final only after the other groups were asked.

ExpiredLookupsTest has the lookups, the copies' times, and the search after a chain is found missing when the turn begins.

Why it works: no decision rests any more on what an idle group still holds, and a group's own "no such turn" isn't taken for that of all.

Tried: nothing else.

--- a/src/history/HistoryNode.cpp
+++ b/src/history/HistoryNode.cpp
@@ -100,6 +100,11 @@
   m_Node.run();
 }
 
+std::uint64_t HistoryNode::wallMs() {
+  constexpr std::uint64_t MicrosecondsPerMs = 1000;
+  return readClocks().m_Wall / MicrosecondsPerMs;
+}
+
 consensus::StateMachine &HistoryNode::makeState(std::uint32_t Number) {
   auto &Group = m_Hosted[Number];
   Group = std::make_unique<HostedGroup>(m_Groups, Number);
@@ -272,7 +277,8 @@
   const auto &Begin = Received.begin();
   const HostedGroup &Group = *m_Hosted.at(Received.group());
   if (!Begin.previous().empty() &&
-      !Group.m_State.ledger().hasChain(Begin.organisation(), Begin.previous()))
+      !Group.m_State.ledger().hasChain(Begin.organisation(), Begin.previous(),
+                                       wallMs()))
     web::spawn(m_Node.io().get_executor(), "begin_from_other_group",
                web::Lasting(*this), [From, Received](HistoryNode &Self) {
                  return Self.beginFromOtherGroup(From, Received);
@@ -304,7 +310,7 @@
 }
 
 void HistoryNode::propose(const ReplyAddress &From, const Request &Received,
-                          const GrantedSlot &Granted) {
+                          const GrantedSlot &Granted, bool ChainSearched) {
   const std::uint32_t Number = Received.group();
   messages::fleet::HistoryCommand Command;
   if (Received.has_begin()) {
@@ -327,7 +333,8 @@
   // The request is registered before the proposal, since a group of one member
   // commits before propose() returns.
   m_Hosted.at(Number)->m_State.awaitCommit(
-      m_Groups->find(Number)->lastIndex() + 1, From, Received, Granted);
+      m_Groups->find(Number)->lastIndex() + 1, From, Received, Granted,
+      ChainSearched);
   m_Groups->propose(Number, Bytes);
 }
 
@@ -382,6 +389,12 @@
   }
   for (const TurnReport &Report : Group.m_State.takeUnusedSlots())
     reportTurn(Report);
+  for (AddressedRequest &Missing : Group.m_State.takeMissingChains())
+    web::spawn(m_Node.io().get_executor(), "begin_from_other_group",
+               web::Lasting(*this),
+               [Begin = std::move(Missing)](HistoryNode &Self) {
+                 return Self.beginFromOtherGroup(Begin.m_From, Begin.m_Request);
+               });
   for (const std::string &Reason : Group.m_State.takeReadErrors()) {
     m_Node.log().write("entry_damaged",
                        {{"number", Number}, {"reason", Reason}});
--- a/src/history/HistoryNode.h
+++ b/src/history/HistoryNode.h
@@ -84,13 +84,17 @@
     /// Of a chain that is too long for a reply; zero: m_Text is the chain.
     std::uint64_t m_ChainBytes = 0;
     std::uint32_t m_Group = 0;
-    bool m_Uncertain = false; ///< Some groups have not replied.
+    std::uint64_t m_LeftMs = 0; ///< How long it is retained; zero: not known.
+    bool m_Uncertain = false;   ///< Some groups have not replied.
   };
 
   /// A long chain that is copied: the group that gets it, the organisation and
   /// the last turn.
   using ChainCopy = std::tuple<std::uint32_t, std::string, std::string>;
 
+  /// The moment of a lookup, in milliseconds of the wall clock.
+  static std::uint64_t wallMs();
+
   // Groups.
   consensus::StateMachine &makeState(std::uint32_t Number);
   void onProgress(std::uint32_t Number);
@@ -136,8 +140,9 @@
   /// Whether all commands that the group \p Number had committed before are
   /// applied here.
   boost::asio::awaitable<bool> confirmRead(std::uint32_t Number);
+  /// \p ChainSearched: see HistoryStateMachine::awaitCommit().
   void propose(const ReplyAddress &From, const Request &Received,
-               const GrantedSlot &Granted);
+               const GrantedSlot &Granted, bool ChainSearched = false);
   Reply retirementReply(std::uint32_t Number,
                         const messages::fleet::RetireNode &Received) const;
   void reply(const ReplyAddress &To, std::uint64_t Id, Reply Outgoing);
@@ -157,7 +162,7 @@
                                                    Request Received);
   boost::asio::awaitable<LocatedTurn>
   searchOtherGroups(std::uint32_t Own, messages::fleet::FindTurn Wanted);
-  void adopt(const Request &Received, const std::string &Text);
+  void adopt(const Request &Received, const LocatedTurn &Located);
   /// False if the command at \p Index isn't committed in time.
   boost::asio::awaitable<bool> awaitCommit(std::uint32_t Number,
                                            std::uint64_t Index);
--- a/src/history/HistorySlots.cpp
+++ b/src/history/HistorySlots.cpp
@@ -36,7 +36,7 @@
       Begin.previous().empty() &&
       !m_Hosted.at(Received.group())
            ->m_State.ledger()
-           .hasProgram(Begin.organisation(), Begin.program());
+           .hasProgram(Begin.organisation(), Begin.program(), wallMs());
   if (NewProgram && m_Capacity.isFull()) {
     refuseProgram(From, Received,
                   "memory or disk use is above the threshold for new programs",
--- a/src/history/HistoryStateMachine.cpp
+++ b/src/history/HistoryStateMachine.cpp
@@ -53,7 +53,7 @@
   const auto It = m_PendingCommands.find(Index);
   if (It == m_PendingCommands.end())
     return;
-  const PendingCommand Pending = std::move(It->second);
+  PendingCommand Pending = std::move(It->second);
   m_PendingCommands.erase(It);
   Reply Answer;
   // The proposal was lost, and another leader's command is at its index.
@@ -65,6 +65,12 @@
     Answer = makeStreamReply(Parsed.stream());
   else if (Parsed.has_end())
     Answer = makeEndReply(Parsed.end(), Pending);
+  if (Answer.kind() == messages::fleet::REPLY_NO_SUCH_TURN && Pending.m_Begin) {
+    Pending.m_Begin->set_id(Pending.m_RequestId);
+    m_MissingChains.push_back(
+        {.m_From = Pending.m_From, .m_Request = std::move(*Pending.m_Begin)});
+    return;
+  }
   Answer.set_id(Pending.m_RequestId);
   m_Replies.push_back({.m_To = Pending.m_From, .m_Reply = std::move(Answer)});
 }
@@ -84,7 +90,7 @@
   try {
     if (!Begin.previous().empty() &&
         !addChain(Begin.organisation(), Begin.previous(), Pending.m_ReadsParts,
-                  Answer))
+                  WallMs, Answer))
       throw base::UserError(base::ErrorKind::Internal,
                             "the chain of a turn that began is incomplete");
   } catch (const base::UserError &Error) {
@@ -140,10 +146,12 @@
 
 bool HistoryStateMachine::addChain(const std::string &Organisation,
                                    const std::string &Turn, bool InParts,
-                                   Reply &Answer) const {
+                                   std::uint64_t NowMs, Reply &Answer) const {
   const auto Entries = m_Ledger.chainEntries(Organisation, Turn);
   if (!Entries)
     return false;
+  const std::uint64_t ExpiresMs = m_Ledger.chainExpiresMs(Organisation, Turn);
+  Answer.set_left_ms(ExpiresMs - std::min(ExpiresMs, NowMs));
   const std::uint64_t Bytes = chainLength(m_Entries, *Entries);
   if (Bytes <= (InParts ? MaxInlineChainBytes : MaxWholeChainBytes))
     Answer.set_text(*chainText(Organisation, Turn));
@@ -194,7 +202,8 @@
 void HistoryStateMachine::awaitCommit(std::uint64_t Index,
                                       const fleet::ReplyAddress &From,
                                       const Request &Proposed,
-                                      const GrantedSlot &Granted) {
+                                      const GrantedSlot &Granted,
+                                      bool ChainSearched) {
   auto [Kind, Turn] = subjectOf(Proposed);
   m_PendingCommands[Index] = {.m_From = From,
                               .m_RequestId = Proposed.id(),
@@ -204,7 +213,10 @@
                               .m_EngineBorn = Granted.m_Born,
                               .m_Kind = Kind,
                               .m_KeepsTurn = Proposed.end().keep(),
-                              .m_ReadsParts = Proposed.chain_in_parts()};
+                              .m_ReadsParts = Proposed.chain_in_parts(),
+                              .m_Begin = {}};
+  if (!Proposed.begin().previous().empty() && !ChainSearched)
+    m_PendingCommands[Index].m_Begin = Proposed;
 }
 
 void HistoryStateMachine::failAll(const std::string &Leader) {
@@ -222,6 +234,10 @@
   return std::exchange(m_Replies, {});
 }
 
+std::vector<AddressedRequest> HistoryStateMachine::takeMissingChains() {
+  return std::exchange(m_MissingChains, {});
+}
+
 std::vector<std::string> HistoryStateMachine::takeReadErrors() {
   return std::exchange(m_ReadErrors, {});
 }
--- a/src/history/HistoryStateMachine.h
+++ b/src/history/HistoryStateMachine.h
@@ -26,6 +26,12 @@
   messages::fleet::Reply m_Reply;
 };
 
+/// A request of which the sender still waits for a reply.
+struct AddressedRequest {
+  fleet::ReplyAddress m_From;
+  messages::fleet::Request m_Request;
+};
+
 /// The engine that a turn has a slot on.
 struct GrantedSlot {
   std::string m_Endpoint; ///< Empty: none.
@@ -68,13 +74,18 @@
   std::size_t pendingCommands() const { return m_PendingCommands.size(); }
 
   /// Registers \p Proposed, which is proposed at \p Index. A BeginTurn command
-  /// may have a slot.
+  /// may have a slot. Its earlier turn is missing for good only if
+  /// \p ChainSearched: no other group has it.
   void awaitCommit(std::uint64_t Index, const fleet::ReplyAddress &From,
-                   const Request &Proposed, const GrantedSlot &Granted = {});
+                   const Request &Proposed, const GrantedSlot &Granted = {},
+                   bool ChainSearched = false);
   /// Replies to all pending requests that this node is no longer the leader, so
   /// that their senders contact \p Leader.
   void failAll(const std::string &Leader);
   std::vector<AddressedReply> takeReplies();
+  /// Removes and returns requests to begin turns whose earlier turn this group
+  /// no longer has. Another group may.
+  std::vector<AddressedRequest> takeMissingChains();
   /// Removes and returns reports on turns that had a slot but did not begin.
   std::vector<messages::fleet::TurnReport> takeUnusedSlots();
 
@@ -86,10 +97,12 @@
   std::optional<std::string> chainText(const std::string &Organisation,
                                        const std::string &Turn) const;
   /// Adds the text of \p Turn and all turns before it to \p Answer, or its
-  /// length if it is long and the requester reads it \p InParts. Returns false
-  /// if this group has no such turn.
+  /// length if it is long and the requester reads it \p InParts, and how long
+  /// it is retained from \p NowMs on. Returns false if this group has no such
+  /// turn. One whose time is over counts while it is there: the clock of this
+  /// node may be wrong.
   bool addChain(const std::string &Organisation, const std::string &Turn,
-                bool InParts, Reply &Answer) const;
+                bool InParts, std::uint64_t NowMs, Reply &Answer) const;
   /// Adds the events to \p Answer that the caller has who takes up a stream as
   /// \p Wanted, at \p NowMs. Without them \p Answer is BUSY if they may still
   /// be recorded, and otherwise STREAM_UNKNOWN.
@@ -110,6 +123,8 @@
     CommandKind m_Kind = CommandKind::Begin;
     bool m_KeepsTurn = false;  ///< The request ends a turn that is retained.
     bool m_ReadsParts = false; ///< The requester reads a long chain in parts.
+    /// Unless the earlier turn was searched for in the other groups.
+    std::optional<Request> m_Begin;
   };
 
   /// Kind of a request or of a command, and the turn or stream that it names.
@@ -125,6 +140,7 @@
   turns::TurnLedger m_Ledger;
   std::map<std::uint64_t, PendingCommand> m_PendingCommands; ///< By index.
   std::vector<AddressedReply> m_Replies;
+  std::vector<AddressedRequest> m_MissingChains;
   std::vector<messages::fleet::TurnReport> m_UnusedSlots;
   std::vector<std::string> m_ReadErrors;
 };
--- a/src/history/HistoryStreams.cpp
+++ b/src/history/HistoryStreams.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr std::uint64_t MicrosecondsPerMs = 1000;
 /// Versions of services are remembered for longer than requested by this.
 constexpr std::uint64_t AddedRetentionMs = 10'000;
 
@@ -51,8 +50,8 @@
 HistoryNode::findStream(std::uint32_t Number, std::string Organisation,
                         std::string Stream) {
   const auto Find = [&]() -> const turns::StreamVersion * {
-    return m_Hosted.at(Number)->m_State.ledger().streams().find(Organisation,
-                                                                Stream);
+    return m_Hosted.at(Number)->m_State.ledger().streams().find(
+        Organisation, Stream, wallMs());
   };
   FoundStream Result;
   const turns::StreamVersion *Version = Find();
@@ -89,8 +88,9 @@
     return;
   }
   // The first record counts, so a later one needs no entry.
-  if (const turns::StreamVersion *Recorded = State.ledger().streams().find(
-          Received.stream().organisation(), Received.stream().stream())) {
+  if (const turns::StreamVersion *Recorded =
+          State.ledger().streams().find(Received.stream().organisation(),
+                                        Received.stream().stream(), wallMs())) {
     Reply Outgoing;
     Outgoing.set_kind(messages::fleet::REPLY_OK);
     Outgoing.set_software(Recorded->m_Software);
@@ -114,7 +114,7 @@
     replyKind(From, Received.id(), messages::fleet::REPLY_UNAVAILABLE);
     return;
   }
-  const std::uint64_t NowMs = base::readClocks().m_Wall / MicrosecondsPerMs;
+  const std::uint64_t NowMs = wallMs();
   if (State.ledger().serviceVersions().expiresMs(Recorded.service(),
                                                  Recorded.software()) >=
       NowMs + Recorded.retention_ms()) {
@@ -140,7 +140,8 @@
   std::size_t VersionCount = 0;
   if (Confirmed) {
     const std::set<std::string> Versions =
-        m_Hosted.at(Number)->m_State.ledger().serviceVersions().find(Service);
+        m_Hosted.at(Number)->m_State.ledger().serviceVersions().find(Service,
+                                                                     wallMs());
     VersionCount = Versions.size();
     Outgoing.set_kind(VersionCount == 1
                           ? messages::fleet::REPLY_OK
@@ -180,7 +181,7 @@
   const FoundStream Found = co_await findStream(
       Received.group(), Received.find_stream().organisation(),
       Received.find_stream().stream());
-  const std::uint64_t NowMs = base::readClocks().m_Wall / MicrosecondsPerMs;
+  const std::uint64_t NowMs = wallMs();
   Reply Outgoing;
   Outgoing.set_kind(Found.m_Kind);
   Outgoing.set_software(Found.m_Version.m_Software);
@@ -199,8 +200,7 @@
     try {
       Outgoing.set_kind(messages::fleet::REPLY_OK);
       m_Hosted.at(Received.group())
-          ->m_State.addHandedOutEvents(
-              Wanted, base::readClocks().m_Wall / MicrosecondsPerMs, Outgoing);
+          ->m_State.addHandedOutEvents(Wanted, wallMs(), Outgoing);
     } catch (const base::UserError &Error) {
       // Another member has an undamaged copy.
       Outgoing.set_kind(messages::fleet::REPLY_NOT_LEADER);
--- a/src/history/HistoryTurnSearch.cpp
+++ b/src/history/HistoryTurnSearch.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace psp::history {
@@ -26,6 +27,18 @@
 constexpr std::size_t MaxChainCopies = 4;
 /// Time until a copy has ended.
 constexpr std::uint32_t ChainCopyRetryMs = 250;
+/// A copy outlives the turn that it was made for by this, since the clocks of
+/// two leaders differ.
+constexpr std::uint64_t CopyGraceMs = 10'000;
+
+/// How long a copy of a chain is retained that stays \p LeftMs in its own
+/// group: as long as there, and while the turn may wait for its slot.
+std::uint64_t copyRetentionMs(const messages::fleet::BeginTurn &Begin,
+                              std::uint64_t LeftMs) {
+  // A leader with earlier software doesn't state the time.
+  const std::uint64_t Retained = LeftMs > 0 ? LeftMs : Begin.retention_ms();
+  return std::max(Retained, Begin.time_left_ms() + CopyGraceMs);
+}
 
 } // namespace
 
@@ -50,6 +63,7 @@
                       {"previous", Wanted.turn()},
                       {"found", Located.m_Text ? "yes" : "no"},
                       {"chain_bytes", Located.m_ChainBytes},
+                      {"left_ms", Located.m_LeftMs},
                       {"unsure", Located.m_Uncertain ? "yes" : "no"}});
   const bool IsLong = Located.m_ChainBytes > 0;
   // A repeated call has another turn, and goes on from the same chain.
@@ -75,24 +89,24 @@
     else
       replyKind(From, Received.id(), messages::fleet::REPLY_UNAVAILABLE);
   } else if (Located.m_Text) {
-    adopt(Received, *Located.m_Text);
+    adopt(Received, Located);
     requestSlot(From, Received);
   } else if (Located.m_Uncertain) {
     replyKind(From, Received.id(), messages::fleet::REPLY_UNAVAILABLE);
   } else {
     // The group's own log confirms that there is no such turn, once all earlier
     // commands are applied.
-    propose(From, Received, {});
+    propose(From, Received, {}, true);
   }
 }
 
-void HistoryNode::adopt(const Request &Received, const std::string &Text) {
+void HistoryNode::adopt(const Request &Received, const LocatedTurn &Located) {
   messages::fleet::HistoryCommand Command;
   auto &Adopted = *Command.mutable_adopt();
   Adopted.set_turn(Received.begin().previous());
   Adopted.set_organisation(Received.begin().organisation());
-  Adopted.set_text(Text);
-  Adopted.set_retention_ms(Received.begin().retention_ms());
+  Adopted.set_text(*Located.m_Text);
+  Adopted.set_retention_ms(copyRetentionMs(Received.begin(), Located.m_LeftMs));
   m_Groups->propose(Received.group(), Command.SerializeAsString());
 }
 
@@ -133,7 +147,7 @@
   auto &Part = *Command.mutable_adopt_part();
   Part.set_turn(Wanted.turn());
   Part.set_organisation(Wanted.organisation());
-  Part.set_retention_ms(Begin.begin().retention_ms());
+  Part.set_retention_ms(copyRetentionMs(Begin.begin(), Located.m_LeftMs));
   int Tries = 0;
   while (Part.offset() < Located.m_ChainBytes) {
     Wanted.set_offset(Part.offset());
@@ -186,6 +200,7 @@
             Search->m_Located.m_Text = Received->text();
             Search->m_Located.m_ChainBytes = Received->chain_bytes();
             Search->m_Located.m_Group = Number;
+            Search->m_Located.m_LeftMs = Received->left_ms();
           } else if (!Received ||
                      Received->kind() != messages::fleet::REPLY_NO_SUCH_TURN) {
             Search->m_Located.m_Uncertain = true;
@@ -241,8 +256,8 @@
   // A leader that hasn't applied the program's first turn yet replies that the
   // program has not begun, which only delays the requester's call.
   if (Wanted.turn().empty()) {
-    Result.set_kind(Group.m_State.ledger().hasProgram(Wanted.organisation(),
-                                                      Wanted.program())
+    Result.set_kind(Group.m_State.ledger().hasProgram(
+                        Wanted.organisation(), Wanted.program(), wallMs())
                         ? messages::fleet::REPLY_OK
                         : messages::fleet::REPLY_NO_SUCH_TURN);
     co_return Result;
@@ -251,7 +266,7 @@
   Reply Found;
   const auto AddChain = [&] {
     return Group.m_State.addChain(Wanted.organisation(), Wanted.turn(),
-                                  Wanted.chain_in_parts(), Found);
+                                  Wanted.chain_in_parts(), wallMs(), Found);
   };
   if (AddChain())
     co_return Found;
--- a/src/turns/ServiceVersions.cpp
+++ b/src/turns/ServiceVersions.cpp
@@ -17,11 +17,13 @@
   Expiry = std::max(Expiry, ExpiresMs);
 }
 
-std::set<std::string> ServiceVersions::find(const std::string &Service) const {
+std::set<std::string> ServiceVersions::find(const std::string &Service,
+                                            std::uint64_t NowMs) const {
   std::set<std::string> Versions;
   if (const auto It = m_Services.find(Service); It != m_Services.end())
     for (const auto &[Software, Expiry] : It->second)
-      Versions.insert(Software);
+      if (Expiry >= NowMs)
+        Versions.insert(Software);
   return Versions;
 }
 
--- a/src/turns/ServiceVersions.h
+++ b/src/turns/ServiceVersions.h
@@ -32,7 +32,9 @@
   /// Remembers \p Software until \p ExpiresMs at least.
   void record(const std::string &Service, const std::string &Software,
               std::uint64_t ExpiresMs);
-  std::set<std::string> find(const std::string &Service) const;
+  /// Those that are remembered at \p NowMs. See TurnLedger on lookups.
+  std::set<std::string> find(const std::string &Service,
+                             std::uint64_t NowMs = 0) const;
   /// Zero if \p Software is not recorded.
   std::uint64_t expiresMs(const std::string &Service,
                           const std::string &Software) const;
--- a/src/turns/StreamVersions.cpp
+++ b/src/turns/StreamVersions.cpp
@@ -31,9 +31,12 @@
 }
 
 const StreamVersion *StreamVersions::find(const std::string &Organisation,
-                                          const std::string &Stream) const {
+                                          const std::string &Stream,
+                                          std::uint64_t NowMs) const {
   const auto It = m_Rows.find(keyOf(Organisation, Stream));
-  return It == m_Rows.end() ? nullptr : &It->second.m_Version;
+  return It == m_Rows.end() || It->second.m_ExpiresMs < NowMs
+             ? nullptr
+             : &It->second.m_Version;
 }
 
 void StreamVersions::extend(const std::string &Organisation,
--- a/src/turns/StreamVersions.h
+++ b/src/turns/StreamVersions.h
@@ -43,9 +43,11 @@
   /// a repeated command may come from an earlier selection.
   void record(const std::string &Organisation, const std::string &Stream,
               StreamVersion Version, std::uint64_t ExpiresMs);
-  /// Null if the version is not known, or no longer.
+  /// Null if the version is not known, or no longer at \p NowMs. See TurnLedger
+  /// on lookups.
   const StreamVersion *find(const std::string &Organisation,
-                            const std::string &Stream) const;
+                            const std::string &Stream,
+                            std::uint64_t NowMs = 0) const;
   /// Keeps the record of \p Stream until \p ExpiresMs at least.
   void extend(const std::string &Organisation, const std::string &Stream,
               std::uint64_t ExpiresMs);
--- a/src/turns/TurnLedger.cpp
+++ b/src/turns/TurnLedger.cpp
@@ -195,11 +195,14 @@
                        const messages::fleet::AdoptTurn &Command,
                        std::uint64_t WallMs) {
   const Key TurnKey = keyOf(Command.organisation(), Command.turn());
-  if (!m_Turns.contains(TurnKey))
+  const std::uint64_t ExpiresMs = WallMs + Command.retention_ms();
+  if (m_Turns.contains(TurnKey))
+    extendChain(TurnKey, ExpiresMs);
+  else
     storeTurn(TurnKey, {.m_Previous = {},
                         .m_EntryIndex = Index,
                         .m_TextBytes = Command.text().size(),
-                        .m_ExpiresMs = WallMs + Command.retention_ms()});
+                        .m_ExpiresMs = ExpiresMs});
 }
 
 /// The parts form a chain of their own, whose end is the turn. A part of which
@@ -208,8 +211,11 @@
                            const messages::fleet::AdoptPart &Command,
                            std::uint64_t WallMs) {
   const Key TurnKey = keyOf(Command.organisation(), Command.turn());
-  if (m_Turns.contains(TurnKey))
+  const std::uint64_t ExpiresMs = WallMs + Command.retention_ms();
+  if (m_Turns.contains(TurnKey)) {
+    extendChain(TurnKey, ExpiresMs);
     return;
+  }
   const auto PartKey = [&](std::uint64_t Offset) {
     return TurnKey + '\0' + std::to_string(Offset);
   };
@@ -221,9 +227,11 @@
         Command.previous_offset() + It->second.m_TextBytes != Command.offset())
       return;
   }
-  const std::uint64_t ExpiresMs = WallMs + Command.retention_ms();
   const Key Stored = Command.last() ? TurnKey : PartKey(Command.offset());
-  if (!m_Turns.contains(Stored))
+  // An earlier copy that didn't end may have left parts.
+  if (m_Turns.contains(Stored))
+    extendChain(Stored, ExpiresMs);
+  else
     storeTurn(Stored, {.m_Previous = Previous,
                        .m_EntryIndex = Index,
                        .m_TextBytes = Command.text().size(),
@@ -264,23 +272,32 @@
 }
 
 bool TurnLedger::hasChain(const std::string &Organisation,
-                          const std::string &Turn) const {
-  return chainEntries(Organisation, Turn).has_value();
+                          const std::string &Turn, std::uint64_t NowMs) const {
+  return chainEntries(Organisation, Turn, NowMs).has_value();
+}
+
+/// The turns before it expire no earlier.
+std::uint64_t TurnLedger::chainExpiresMs(const std::string &Organisation,
+                                         const std::string &Turn) const {
+  const auto It = m_Turns.find(keyOf(Organisation, Turn));
+  return It == m_Turns.end() ? 0 : It->second.m_ExpiresMs;
 }
 
 bool TurnLedger::hasProgram(const std::string &Organisation,
-                            const std::string &Program) const {
-  return m_Programs.contains(keyOf(Organisation, Program));
+                            const std::string &Program,
+                            std::uint64_t NowMs) const {
+  const auto It = m_Programs.find(keyOf(Organisation, Program));
+  return It != m_Programs.end() && It->second.m_ExpiresMs >= NowMs;
 }
 
 std::optional<std::vector<ChainEntry>>
 TurnLedger::chainEntries(const std::string &Organisation,
-                         const std::string &Turn) const {
+                         const std::string &Turn, std::uint64_t NowMs) const {
   std::vector<ChainEntry> Entries;
   Key Next = keyOf(Organisation, Turn);
   while (!Next.empty()) {
     const auto It = m_Turns.find(Next);
-    if (It == m_Turns.end())
+    if (It == m_Turns.end() || It->second.m_ExpiresMs < NowMs)
       return std::nullopt;
     Entries.push_back({.m_Index = It->second.m_EntryIndex,
                        .m_TextBytes = It->second.m_TextBytes});
--- a/src/turns/TurnLedger.h
+++ b/src/turns/TurnLedger.h
@@ -66,6 +66,11 @@
 ///
 /// The texts of turns stay in the log; the ledger holds the indexes of their
 /// entries.
+///
+/// Time passes with each command, and a group may get none for long. A lookup
+/// therefore states its moment \p NowMs, in milliseconds of the wall clock:
+/// what has expired by then isn't found, although the next command removes it.
+/// With zero it is the moment of the last command.
 class TurnLedger {
 public:
   using BeginTurn = messages::fleet::BeginTurn;
@@ -86,15 +91,21 @@
   /// The log entries that hold the texts of \p Turn and all turns before it,
   /// oldest first; empty if \p Organisation has no such turn.
   std::optional<std::vector<ChainEntry>>
-  chainEntries(const std::string &Organisation, const std::string &Turn) const;
+  chainEntries(const std::string &Organisation, const std::string &Turn,
+               std::uint64_t NowMs = 0) const;
   /// Whether \p Turn and all turns before it are retained.
-  bool hasChain(const std::string &Organisation, const std::string &Turn) const;
+  bool hasChain(const std::string &Organisation, const std::string &Turn,
+                std::uint64_t NowMs = 0) const;
+  /// Until when the chain of \p Turn is retained, in milliseconds of the wall
+  /// clock; zero if it isn't.
+  std::uint64_t chainExpiresMs(const std::string &Organisation,
+                               const std::string &Turn) const;
   /// Index of the oldest entry whose text is needed, if any.
   std::optional<std::uint64_t> oldestEntry() const;
   bool hasTurn(const std::string &Organisation, const std::string &Turn) const;
   /// Whether a turn of \p Program has begun.
-  bool hasProgram(const std::string &Organisation,
-                  const std::string &Program) const;
+  bool hasProgram(const std::string &Organisation, const std::string &Program,
+                  std::uint64_t NowMs = 0) const;
 
   std::size_t turnCount() const { return m_Turns.size(); }
   std::size_t programCount() const { return m_Programs.size(); }
--- a/tests/fleet.cmake
+++ b/tests/fleet.cmake
@@ -43,6 +43,7 @@
 psp_test(engine_desk_test correctness/SlotAllocatorTest.cpp USES psp_history)
 psp_test(stream_versions_test correctness/StreamVersionsTest.cpp USES psp_history)
 psp_test(stream_attempts_test correctness/StreamAttemptsTest.cpp USES psp_history)
+psp_test(expired_lookups_test correctness/ExpiredLookupsTest.cpp USES psp_history)
 psp_test(service_versions_test correctness/ServiceVersionsTest.cpp USES psp_turns)
 psp_test(recorded_versions_test correctness/RecordedVersionsTest.cpp USES psp_gateway)
 psp_test(later_version_test correctness/LaterVersionTest.cpp USES psp_history)
